--- /dev/null
+++ b/libs/bench/src/fuchsiawell/bench/__init__.py
@@ -0,0 +1,5 @@
+"""Measurements and experiments."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/cli/src/fuchsiawell/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The fuchsiawell command line."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon: entry, leader and controller in one process."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/load/src/fuchsiawell/load/__init__.py
@@ -0,0 +1,5 @@
+"""Admission, shedding, hot keys and balance."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/platform/src/fuchsiawell/platform/__init__.py
@@ -0,0 +1,38 @@
+"""Client side of the platform's key-value store and host list."""
+
+from __future__ import annotations
+
+from fuchsiawell.platform.hosts import ENTRY_ROLE, Host, HostList, HostState
+from fuchsiawell.platform.store import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    AnswerLost,
+    Conflict,
+    LeaseId,
+    LeaseLapsed,
+    Record,
+    Revision,
+    Store,
+    StoreError,
+    Unavailable,
+    WriteError,
+)
+
+__all__ = [
+    "ABSENT",
+    "ENTRY_ROLE",
+    "MAX_VALUE_BYTES",
+    "AnswerLost",
+    "Conflict",
+    "Host",
+    "HostList",
+    "HostState",
+    "LeaseId",
+    "LeaseLapsed",
+    "Record",
+    "Revision",
+    "Store",
+    "StoreError",
+    "Unavailable",
+    "WriteError",
+]
