Add daemon settings and the configuration of a cell

Cause: daemons, the command line and the policy need one form of settings and rules. Change: pydantic models at the border, frozen data classes inside, a deterministic JSON codec; errors list all mistakes with step and peer. A service whose servers check neither fence nor deadline is refused, since no owner of its keys could be replaced safely. Conclusion: the daemon can be built on load_settings and decode_configuration.

--- a/libs/config/src/fuchsiawell/config/__init__.py
+++ b/libs/config/src/fuchsiawell/config/__init__.py
@@ -2,4 +2,48 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from fuchsiawell.config.codec import (
+    ConfigurationError,
+    decode_configuration,
+    encode_configuration,
+)
+from fuchsiawell.config.configuration import (
+    Configuration,
+    Goal,
+    IdStyle,
+    Kind,
+    Service,
+    StoreOutage,
+    configuration_key,
+)
+from fuchsiawell.config.settings import (
+    Address,
+    Limits,
+    LogLevel,
+    Settings,
+    SettingsError,
+    load_settings,
+    parse_address,
+    parse_settings,
+)
+
+__all__ = [
+    "Address",
+    "Configuration",
+    "ConfigurationError",
+    "Goal",
+    "IdStyle",
+    "Kind",
+    "Limits",
+    "LogLevel",
+    "Service",
+    "Settings",
+    "SettingsError",
+    "StoreOutage",
+    "configuration_key",
+    "decode_configuration",
+    "encode_configuration",
+    "load_settings",
+    "parse_address",
+    "parse_settings",
+]
