Decide about never-repeat requests at their leader

Cause: resends, late copies, hand-overs and lost leaders must run each id at most once and say 'not run' only where proved. The key is part of what an id names, since another key may have another leader; the caller is not, new credentials must not run a resend again.

--- /dev/null
+++ b/libs/once/src/fuchsiawell/once/ledger.py
@@ -0,0 +1,388 @@
+"""A leader's record of never-repeat requests, by which each id runs at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from math import ceil
+from typing import TYPE_CHECKING
+
+from fuchsiawell.core import FuchsiawellError, NotRunReason
+from fuchsiawell.once.minted import (
+    PREFIX,
+    Foreign,
+    Forged,
+    FreeForm,
+    Genuine,
+    Mint,
+    TenureSet,
+    check_id,
+    issue_id,
+)
+from fuchsiawell.once.records import (
+    Conflict,
+    Decision,
+    FoundIntent,
+    HandedRecord,
+    HandedScope,
+    HandOver,
+    Hold,
+    InProgress,
+    JournalsRead,
+    KeptAnswer,
+    NotOpen,
+    Record,
+    RecordState,
+    Refuse,
+    Replay,
+    Run,
+    Scope,
+    Stopped,
+    StoppedBy,
+    UnknownBefore,
+)
+from fuchsiawell.once.requests import MAX_ID_CHARS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fuchsiawell.core import Clock, ShardId
+    from fuchsiawell.once.minted import Tenure
+    from fuchsiawell.once.requests import OnceRequest
+
+__all__ = ["Ledger", "LedgerError", "LedgerLimits"]
+
+
+class LedgerError(FuchsiawellError):
+    """Report a call that would break the order received, intent, sent, ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerLimits:
+    """Bound the ledger's memory and the life of issued ids."""
+
+    max_records: int = 40_000  # received, running, ended and found in journals
+    max_answer_bytes: int = 8_000_000  # bodies beyond are dropped, oldest first; the fact stays
+    issued_use_s: float = 900.0  # an issued id starts no work later than this
+    issued_resend_s: float = 900.0  # and is remembered for this long after
+
+
+class Ledger:
+    """Decide for each copy of a never-repeat request whether it may run.
+
+    Synchronous and without a clock of its own. All calls take constant time, but for those that
+    open and close scopes.
+    """
+
+    def __init__(self, clock: Clock, mint: Mint, limits: LedgerLimits | None = None) -> None:
+        self._clock = clock
+        self._mint = mint
+        self._limits = limits or LedgerLimits()
+        self._records: dict[bytes, Record] = {}
+        self._found: dict[bytes, tuple[FoundIntent, float]] = {}
+        self._holds: dict[tuple[ShardId, str | None], Hold] = {}
+        self._expiring_by_s: dict[int, list[bytes]] = {}
+        self._swept_s = int(clock.monotonic())
+        self._answered: dict[bytes, Record] = {}  # with a kept answer, oldest first
+        self._answer_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of ids that it remembers."""
+        return len(self._records) + len(self._found)
+
+    # -- one request ---------------------------------------------------------------------------
+
+    def begin(self, request: OnceRequest) -> Decision:
+        """Decide about one copy of a request; only `Run` may be sent."""
+        if len(request.id) > MAX_ID_CHARS:
+            return Refuse(NotRunReason.MALFORMED)
+        now_s = self._clock.monotonic()
+        self._expire(now_s)
+        identity = request.identity
+        record = self._records.get(identity)
+        if record is not None:
+            return self._again(record, request)
+        found = self._found.get(identity)
+        if found is not None:
+            same = found[0].content == request.content
+            return UnknownBefore("sent by a leader that was lost") if same else Conflict()
+        hold = self._hold(request.shard, request.key)
+        if hold is None:
+            return NotOpen()
+        return self._first(request, identity, hold, now_s)
+
+    def intent_recorded(self, ticket: Record) -> None:
+        """Note that the intent is durable."""
+        self._expect(ticket, RecordState.RECEIVED)
+        ticket.state = RecordState.INTENT
+
+    def send(self, ticket: Record) -> bool:
+        """Note that the next step hands bytes to a connection; false: it must not any more."""
+        self._expect(ticket, RecordState.INTENT)
+        if self._hold(ticket.shard, ticket.key) is not ticket.hold:
+            return False
+        ticket.state = RecordState.SENT
+        return True
+
+    def answered(self, ticket: Record, answer: KeptAnswer | None) -> None:
+        """Note the whole answer; none if it is too large to be kept."""
+        self._expect(ticket, RecordState.SENT, RecordState.UNKNOWN)
+        ticket.state = RecordState.ANSWERED
+        if answer is not None and self._records.get(ticket.identity) is ticket:
+            self._keep(ticket, answer)
+
+    def not_run(self, ticket: Record) -> None:
+        """Forget a request that is proved not to have run, so that a resend may run."""
+        if ticket.state is RecordState.ANSWERED:
+            raise LedgerError("not run", str(ticket.shard), "it was answered")
+        if self._records.get(ticket.identity) is ticket:
+            del self._records[ticket.identity]
+
+    def unknown(self, ticket: Record) -> None:
+        """Note that it was sent and its end will not be known."""
+        self._expect(ticket, RecordState.SENT)
+        ticket.state = RecordState.UNKNOWN
+
+    def issue(self, shard: ShardId, key: str) -> str | None:
+        """Return an id for a later request for `key`; none while its scope is not open."""
+        hold = self._hold(shard, key)
+        if hold is None:
+            return None
+        now_s = self._clock.monotonic()
+        return issue_id(self._mint, hold.tenures.current, shard.service, key, now_s)
+
+    # -- scopes --------------------------------------------------------------------------------
+
+    def is_open(self, shard: ShardId, key: str | None = None) -> bool:
+        """Tell whether new never-repeat work of the shard, or of the key in it, is taken."""
+        return self._hold(shard, key) is not None
+
+    def take_over(self, scope: Scope, stopped: Stopped, read: JournalsRead | None = None) -> None:
+        """Open a scope after an unclean loss, or one that nobody led before.
+
+        An id that no journal shows may run only because earlier leaders had stopped for certain
+        before the journals were read; `LedgerError` otherwise.
+        """
+        if stopped.how is StoppedBy.NEVER_LED:
+            self._open(scope, ())
+            return
+        if read is None or read.started_s < stopped.at_s:
+            raise LedgerError("take over", str(scope.shard), "journals not read since it stopped")
+        self._add_found(read.intents)
+        window_s = read.unjournaled_s_by_service.get(scope.shard.service, 0.0)
+        self._open(scope, (), self._clock.monotonic() + window_s if window_s else 0.0)
+
+    def accept(self, given: HandOver, scope_by_old: dict[Scope, Scope] | None = None) -> None:
+        """Open scopes with all that their earlier leader knew.
+
+        The caller has checked that nobody led them between that leader and this one.
+        `scope_by_old` renames a scope, as when a key was pinned or unpinned on the way.
+        """
+        now_s = self._clock.monotonic()
+        shift_s = now_s - given.sent_s
+        new_scope = scope_by_old or {}
+        self._add_found(given.found)
+        for handed in given.records:
+            shard_wide, single = Scope(handed.shard), Scope(handed.shard, handed.key)
+            scope = new_scope.get(single) or new_scope.get(shard_wide) or single
+            self._add_handed(handed, scope.shard, now_s)
+        for held in given.scopes:
+            earlier = tuple(replace(t, offset_s=t.offset_s + shift_s) for t in held.tenures)
+            until_s = now_s + held.unjournaled_for_s
+            self._open(new_scope.get(held.scope, held.scope), earlier, until_s)
+
+    def hand_over(self, scopes: Iterable[Scope]) -> HandOver:
+        """Close scopes for good and return what their next leader must know.
+
+        Scopes that are not open are left out. What is still running is handed over as unknown,
+        so let it end first.
+        """
+        now_s = self._clock.monotonic()
+        self._expire(now_s)
+        handed = tuple(h for scope in scopes if (h := self._hand_scope(scope, now_s)) is not None)
+        closed = {(held.scope.shard, held.scope.key) for held in handed}
+        records = tuple(
+            self._handed(record, now_s)
+            for record in self._records.values()
+            if not record.unsent
+            and ((record.shard, None) in closed or (record.shard, record.key) in closed)
+        )
+        return HandOver(handed, records, tuple(f for f, _ in self._found.values()), now_s)
+
+    def close(self, scope: Scope) -> None:
+        """Take no more work of a scope and send nothing more of it."""
+        hold = self._hold(scope.shard, scope.key)
+        if hold is not None:
+            self._close(scope, hold)
+
+    def close_all(self) -> None:
+        """Close every scope, as when the right to act has lapsed."""
+        for hold in self._holds.values():
+            hold.open = False
+        self._holds.clear()
+
+    # -- private -------------------------------------------------------------------------------
+
+    def _again(self, record: Record, request: OnceRequest) -> Decision:
+        if record.content != request.content:
+            return Conflict()
+        if record.caller != request.caller:
+            return UnknownBefore("sent by another caller")
+        if record.in_progress:
+            return InProgress(record)
+        if record.answer is not None:
+            return Replay(record.answer)
+        if record.state is RecordState.ANSWERED:
+            return UnknownBefore("it ran; its answer is no longer kept")
+        return UnknownBefore("sent before, and its end was not seen")
+
+    def _first(self, request: OnceRequest, identity: bytes, hold: Hold, now_s: float) -> Decision:
+        expires_s = now_s + request.resend_window_s
+        match check_id(request.id, hold.tenures, request.service, request.key, now_s):
+            case Forged():
+                return Refuse(NotRunReason.MALFORMED)
+            case Foreign():
+                return UnknownBefore("id issued under an earlier term")
+            case Genuine(age_s):
+                left_s = self._limits.issued_use_s - age_s
+                if left_s + self._limits.issued_resend_s < 0:
+                    return UnknownBefore("id older than anything remembered")
+                if left_s < 0:
+                    return Refuse(NotRunReason.ID_EXPIRED)
+                expires_s = now_s + left_s + self._limits.issued_resend_s
+            case FreeForm():
+                if now_s < hold.unjournaled_until_s:
+                    return UnknownBefore("a lost leader may have run it without a journal")
+        if len(self) >= self._limits.max_records:
+            return Refuse(NotRunReason.LEDGER_FULL, self._next_expiry_s(now_s))
+        return self._run(request, identity, hold, expires_s)
+
+    def _run(self, request: OnceRequest, identity: bytes, hold: Hold, expires_s: float) -> Run:
+        needs_intent = not request.id.startswith(PREFIX)
+        state = RecordState.RECEIVED if needs_intent else RecordState.INTENT
+        record = Record(
+            identity,
+            request.shard,
+            request.key,
+            request.content,
+            request.caller,
+            expires_s,
+            state,
+            hold,
+        )
+        self._remember(record)
+        return Run(record, needs_intent)
+
+    def _hold(self, shard: ShardId, key: str | None) -> Hold | None:
+        own = self._holds.get((shard, key))
+        hold = self._holds.get((shard, None)) if own is None else own
+        return hold if hold is not None and hold.open else None
+
+    def _open(self, scope: Scope, earlier: tuple[Tenure, ...], wait_until_s: float = 0.0) -> None:
+        tenures = TenureSet(self._mint.start_tenure(), earlier)
+        self._holds[scope.shard, scope.key] = Hold(tenures, wait_until_s)
+
+    def _close(self, scope: Scope, hold: Hold) -> None:
+        if scope.key is not None:
+            closed = Hold(hold.tenures, hold.unjournaled_until_s, open=False)
+            self._stop(self._holds.get((scope.shard, scope.key)))
+            self._holds[scope.shard, scope.key] = closed
+            return
+        for place in [place for place in self._holds if place[0] == scope.shard]:
+            self._stop(self._holds.pop(place))
+
+    def _stop(self, hold: Hold | None) -> None:
+        if hold is not None:
+            hold.open = False
+
+    def _hand_scope(self, scope: Scope, now_s: float) -> HandedScope | None:
+        hold = self._hold(scope.shard, scope.key)
+        if hold is None:
+            return None
+        self._close(scope, hold)
+        wait_s = max(0.0, hold.unjournaled_until_s - now_s)
+        return HandedScope(scope, hold.tenures.all(), wait_s)
+
+    def _expect(self, ticket: Record, *states: RecordState) -> None:
+        if ticket.state not in states:
+            raise LedgerError("note", str(ticket.shard), f"record is {ticket.state.name}")
+
+    def _keep(self, ticket: Record, answer: KeptAnswer) -> None:
+        if answer.size > self._limits.max_answer_bytes:
+            return
+        ticket.answer = answer
+        self._answered[ticket.identity] = ticket
+        self._answer_bytes += answer.size
+        while self._answer_bytes > self._limits.max_answer_bytes:
+            self._drop_answer(next(iter(self._answered.values())))
+
+    def _drop_answer(self, record: Record) -> None:
+        if record.answer is not None:
+            self._answer_bytes -= record.answer.size
+            record.answer = None
+            del self._answered[record.identity]
+
+    def _remember(self, record: Record) -> None:
+        self._records[record.identity] = record
+        self._await_expiry(record.identity, record.expires_s)
+
+    def _await_expiry(self, identity: bytes, expires_s: float) -> None:
+        second = max(ceil(expires_s), self._swept_s + 1)
+        self._expiring_by_s.setdefault(second, []).append(identity)
+
+    def _next_expiry_s(self, now_s: float) -> float:
+        return max(1.0, min(self._expiring_by_s) - now_s)
+
+    def _expire(self, now_s: float) -> None:
+        while self._swept_s < int(now_s):
+            self._swept_s += 1
+            for identity in self._expiring_by_s.pop(self._swept_s, ()):
+                self._forget(identity, now_s)
+
+    def _forget(self, identity: bytes, now_s: float) -> None:
+        found = self._found.get(identity)
+        if found is not None and found[1] <= now_s:
+            del self._found[identity]
+        record = self._records.get(identity)
+        if record is None or record.expires_s > now_s:
+            return
+        if record.in_progress:
+            record.expires_s = now_s + 1
+            self._await_expiry(identity, record.expires_s)
+            return
+        self._drop_answer(record)
+        del self._records[identity]
+
+    def _add_found(self, intents: tuple[FoundIntent, ...]) -> None:
+        now_s = self._clock.monotonic()
+        for intent in intents:
+            expires_s = now_s + intent.resend_window_s
+            self._found[intent.identity] = (intent, expires_s)
+            self._await_expiry(intent.identity, expires_s)
+
+    def _add_handed(self, handed: HandedRecord, shard: ShardId, now_s: float) -> None:
+        known = self._records.get(handed.identity)
+        if known is not None and (known.in_progress or known.answer is not None):
+            known.shard = shard
+            return
+        if known is not None:
+            self._drop_answer(known)
+        state = RecordState.ANSWERED if handed.answered else RecordState.UNKNOWN
+        expires_s = now_s + handed.expires_in_s
+        record = Record(
+            handed.identity, shard, handed.key, handed.content, handed.caller, expires_s, state
+        )
+        self._remember(record)
+        if handed.answer is not None:
+            self._keep(record, handed.answer)
+
+    def _handed(self, record: Record, now_s: float) -> HandedRecord:
+        return HandedRecord(
+            record.identity,
+            record.shard,
+            record.key,
+            record.content,
+            record.caller,
+            max(0.0, record.expires_s - now_s),
+            record.state is RecordState.ANSWERED,
+            record.answer,
+        )
