Add the backend server stand-in

Tests and the demo need servers that keep count of what they ran.

The store client closes a connection after a failed call: aiosonic returns it to the pool and would hand its late answer to the next call.

--- a/libs/platform/src/fuchsiawell/platform/http_client.py
+++ b/libs/platform/src/fuchsiawell/platform/http_client.py
@@ -35,13 +35,25 @@
 _attempt: ContextVar[_Attempt] = ContextVar("attempt")
 
 
-class _MarkingConnection(Connection):  # type: ignore[misc]
-    """Mark the attempt of the current task once its first byte is written."""
+class _OwnAnswersConnection(Connection):  # type: ignore[misc]
+    """Mark the attempt once its first byte is written; serve no call after a failed one.
+
+    The library would use a connection again whose answer did not come in time, and hand that
+    answer to the next call.
+    """
 
     def write(self, data: bytes) -> None:
         _attempt.get().sent = True
         super().write(data)
 
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: Any
+    ) -> None:
+        if error is not None:
+            self.keep = False
+            self.close()
+        await super().__aexit__(kind, error, trace)
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -64,7 +76,7 @@
         self._client = HTTPClient(
             TCPConnector(
                 pool_configs={":default": PoolConfig(size=POOL_SIZE, max_conn_idle_ms=MAX_IDLE_MS)},
-                connection_cls=_MarkingConnection,
+                connection_cls=_OwnAnswersConnection,
             ),
             trust_env=False,
             follow=False,
--- a/libs/standins/src/fuchsiawell/standins/memory_store.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeVar, cast
+from typing import TYPE_CHECKING, TypeVar
 
 from result import Err, Ok, Result
 
@@ -36,6 +36,7 @@
     Refuse,
     Slow,
 )
+from fuchsiawell.standins.waiting import wait_for_first
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -234,7 +235,7 @@
                 if timer.done():
                     return None
                 event.clear()
-                await _first_of(event, timer)
+                await wait_for_first(timer, event.wait())
         finally:
             timer.cancel()
             watches.discard(event)
@@ -242,14 +243,5 @@
                 self._watches_by_key.pop(key, None)
 
 
-async def _first_of(event: asyncio.Event, timer: asyncio.Future[None]) -> None:
-    waiter: asyncio.Future[object] = asyncio.ensure_future(event.wait())
-    both: set[asyncio.Future[object]] = {waiter, cast("asyncio.Future[object]", timer)}
-    try:
-        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        waiter.cancel()
-
-
 def _revision_of(record: Record | None) -> Revision:
     return ABSENT if record is None else record.revision
--- a/libs/standins/src/fuchsiawell/standins/store_server.py
+++ b/libs/standins/src/fuchsiawell/standins/store_server.py
@@ -24,7 +24,7 @@
 )
 from fuchsiawell.standins.fault_models import FaultModel
 from fuchsiawell.standins.faults import SettableFaults
-from fuchsiawell.standins.serving import abort_connection
+from fuchsiawell.standins.serving import link_of
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -60,7 +60,7 @@
             model = _CallModel.model_validate(msgpack.unpackb(await request.body()))
         except (ValueError, ValidationError, msgpack.UnpackException) as error:
             return _answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
-        return _response(request, await _run(store, kind, model))
+        return await _response(request, await _run(store, kind, model))
 
     async def set_faults(request: Request) -> Response:
         try:
@@ -113,7 +113,7 @@
             return (await store.renew_lease(LeaseId(call.lease or ""))).map(lambda _: {})
 
 
-def _response(request: Request, result: Result[Any, Any]) -> Response:
+async def _response(request: Request, result: Result[Any, Any]) -> Response:
     match result:
         case Ok(fields):
             return _answer(HTTPStatus.OK, fields)
@@ -124,7 +124,7 @@
         case Err(Unavailable(detail=detail)):
             return _answer(HTTPStatus.SERVICE_UNAVAILABLE, {"error": detail})
         case Err(AnswerLost()):
-            abort_connection(request.scope)
+            await link_of(request.scope).abort()
     return _answer(HTTPStatus.INTERNAL_SERVER_ERROR, {"error": "lost"})
 
 
--- /dev/null
+++ b/libs/standins/tests/backend/test_grants.py
@@ -0,0 +1,49 @@
+from __future__ import annotations
+
+from fuchsiawell.core import ManualClock
+from fuchsiawell.standins.backend.grants import Accepted, Fence, GrantLapsed, Grants, HigherTerm
+
+
+def test_work_needs_the_term_and_the_epoch_of_the_grant() -> None:
+    grants = Grants(ManualClock())
+    assert not grants.allows(Fence("p/0", 1, 1))
+    assert grants.install(3, 1.0, {"p/0": 7}) == Accepted()
+    assert grants.allows(Fence("p/0", 3, 7))
+    for other in (Fence("p/0", 2, 7), Fence("p/0", 4, 7), Fence("p/0", 3, 6), Fence("p/1", 3, 7)):
+        assert not grants.allows(other)
+    assert not grants.allows(None)
+
+
+def test_a_grant_lapses_on_the_servers_own_clock_and_is_not_renewed_after() -> None:
+    clock = ManualClock()
+    grants = Grants(clock)
+    grants.install(3, 1.0, {"p/0": 7})
+    clock.advance(0.9)
+    assert grants.renew(3, 1.0) == Accepted()
+    clock.advance(0.9)
+    assert grants.allows(Fence("p/0", 3, 7))
+    clock.advance(0.1)
+    assert not grants.allows(Fence("p/0", 3, 7))
+    assert grants.renew(3, 1.0) == GrantLapsed()
+
+
+def test_a_higher_term_shuts_out_lower_ones_even_after_its_lapse() -> None:
+    clock = ManualClock()
+    grants = Grants(clock)
+    grants.install(3, 1.0, {"p/0": 7})
+    grants.install(4, 1.0, {"p/0": 7})
+    clock.advance(2.0)
+    assert grants.install(3, 1.0, {"p/0": 7}) == HigherTerm(4)
+    assert grants.renew(3, 1.0) == HigherTerm(4)
+    assert grants.release(3, "p/0") == HigherTerm(4)
+    assert grants.renew(5, 1.0) == GrantLapsed()
+
+
+def test_a_released_shard_and_one_left_out_are_granted_no_more() -> None:
+    grants = Grants(ManualClock())
+    grants.install(3, 1.0, {"p/0": 7, "p/1": 2})
+    assert grants.release(3, "p/0") == Accepted()
+    assert not grants.allows(Fence("p/0", 3, 7))
+    assert grants.allows(Fence("p/1", 3, 2))
+    grants.install(3, 1.0, {"p/0": 8})
+    assert not grants.allows(Fence("p/1", 3, 2))
