--- a/libs/config/src/fuchsiawell/config/codec.py
+++ b/libs/config/src/fuchsiawell/config/codec.py
@@ -30,7 +30,7 @@
     "encode_configuration",
 ]
 
-MAX_SHARD_COUNT = 100_000  # the assignment record of a cell must fit the store's value size
+MAX_SHARD_COUNT = 4_096  # of a cell; its assignment record must fit the store's value size
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +107,8 @@
     def _names_differ(self) -> ConfigurationModel:
         _refuse_duplicates("zone", self.zones)
         _refuse_duplicates("service", (service.name for service in self.services))
+        if sum(service.shard_count for service in self.services) > MAX_SHARD_COUNT:
+            raise ValueError(f"the services have more than {MAX_SHARD_COUNT} shards together")
         return self
 
 
@@ -140,7 +142,8 @@
 
 def _refuse_unfenced_outage(kinds: list[KindModel]) -> None:
     for kind in kinds:
-        if not kind.repeatable and kind.store_outage is StoreOutage.CONTINUE:
+        needs_store = not kind.repeatable and kind.id_style is IdStyle.FREE_FORM
+        if needs_store and kind.store_outage is StoreOutage.CONTINUE:
             raise ValueError(
                 f"kind {kind.name}: store_outage can be continue only where servers check the fence"
             )
