Add questionnaire, configure and accept

Cause: operators had no way from plain answers to rules in force. Change: an explained questionnaire, answers read with all mistakes and contradictions at once, the configuration generated from them, both sites as examples, and accept: compare-and-swap from the version read, a lost answer resolved by writing the same bytes again against the same revision. A test's never-repeat kind became free-form, as minted ids no longer need a fence to go on without the store; a test of its own covers that.

--- /dev/null
+++ b/libs/cli/src/fuchsiawell/cli/acceptance.py
@@ -0,0 +1,184 @@
+"""Putting a configuration in force: read, compare, and write by compare-and-swap."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from fuchsiawell.cli.differences import Difference, differences
+from fuchsiawell.cli.hazards import Consent, keep_shard_counts, refusals, warnings
+from fuchsiawell.config import configuration_key, decode_configuration, encode_configuration
+from fuchsiawell.platform import (
+    ABSENT,
+    AnswerLost,
+    Conflict,
+    LeaseLapsed,
+    Record,
+    Revision,
+    Store,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fuchsiawell.config import Configuration
+
+__all__ = [
+    "AcceptError",
+    "ChangedMeanwhile",
+    "NotWritten",
+    "OutOfDate",
+    "Plan",
+    "Refused",
+    "WriteUnknown",
+    "commit",
+    "in_force",
+    "prepare",
+]
+
+ATTEMPTS = 8  # of a write whose answer was lost, each with a read before it
+PAUSE_S = 0.5  # between them
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold a change that is ready to be written from what was read."""
+
+    before: Configuration | None
+    read_at: Revision
+    after: Configuration  # with the version that it gets
+    differences: list[Difference]
+    warnings: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class OutOfDate:
+    """Report that the file was made from another version than the one in force."""
+
+    made_from: int
+    in_force: int
+    differences: list[Difference]  # from the file to what is in force
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Report changes that would break a promise; nothing was written."""
+
+    reasons: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedMeanwhile:
+    """Report that another operator's change came first; nothing was written."""
+
+    version: int
+    differences: list[Difference]  # what the other one changed
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """Report a failure that is proved to have changed nothing."""
+
+    step: str
+    peer: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteUnknown:
+    """Report a write that may have taken effect, and could not be read back."""
+
+    step: str
+    peer: str
+    detail: str
+
+
+AcceptError = OutOfDate | Refused | ChangedMeanwhile | NotWritten | WriteUnknown
+
+
+async def in_force(
+    store: Store, wanted: Configuration
+) -> Result[tuple[Configuration | None, Revision], NotWritten]:
+    """Read the configuration in force in the cell of `wanted`, with its revision."""
+    read = await store.get(configuration_key(wanted.cell))
+    if isinstance(read, Err):
+        error = read.err_value
+        return Err(NotWritten(error.step, error.peer, error.detail))
+    record = read.ok_value
+    if record is None:
+        return Ok((None, ABSENT))
+    return _decode(record.value).map(lambda found: (found, record.revision))
+
+
+async def prepare(
+    store: Store, wanted: Configuration, consent: Consent
+) -> Result[Plan, OutOfDate | Refused | NotWritten]:
+    """Compare `wanted` with what is in force, and refuse what would break a promise."""
+    found = await in_force(store, wanted)
+    if isinstance(found, Err):
+        return found
+    before, revision = found.ok_value
+    version = 0 if before is None else before.version
+    if wanted.version != version:
+        return Err(OutOfDate(wanted.version, version, differences(wanted, before)))
+    if consent.keep_shards:
+        wanted = keep_shard_counts(before, wanted)
+    reasons = list(refusals(before, wanted, consent))
+    if reasons:
+        return Err(Refused(reasons))
+    after = replace(wanted, version=version + 1)
+    return Ok(
+        Plan(before, revision, after, differences(before, after), list(warnings(before, after)))
+    )
+
+
+async def commit(
+    store: Store, plan: Plan, sleep: Callable[[float], Awaitable[None]]
+) -> Result[int, ChangedMeanwhile | NotWritten | WriteUnknown]:
+    """Write the plan and return the version in force, only once the store confirmed it."""
+    key = configuration_key(plan.after.cell)
+    value = encode_configuration(plan.after)
+    lost: AnswerLost | None = None
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            await sleep(PAUSE_S)
+        match await store.put(key, value, plan.read_at):
+            case Ok(_):
+                return Ok(plan.after.version)
+            case Err(Conflict(current)):
+                return _conflict(plan, value, current, lost)
+            case Err(AnswerLost() as error):
+                lost = error  # the same write again can take effect at most once
+            case Err(Unavailable(step, peer, detail)):
+                if lost is None:
+                    return Err(NotWritten(step, peer, detail))
+            case Err(LeaseLapsed(lease)):
+                return Err(NotWritten("put", key, f"lease {lease} lapsed"))
+    assert lost is not None
+    return Err(WriteUnknown(lost.step, lost.peer, lost.detail))
+
+
+def _conflict(
+    plan: Plan, value: bytes, current: Record | None, lost: AnswerLost | None
+) -> Result[int, ChangedMeanwhile | NotWritten | WriteUnknown]:
+    """Tell our own earlier write from another operator's."""
+    if current is not None and current.value == value:
+        return Ok(plan.after.version)
+    decoded = Ok(None) if current is None else _decode(current.value)
+    if isinstance(decoded, Err):
+        return decoded
+    found = decoded.ok_value
+    version = 0 if found is None else found.version
+    if lost is not None and version > plan.after.version:
+        detail = f"version {version} is in force by now, from another operator"
+        return Err(WriteUnknown(lost.step, lost.peer, detail))
+    return Err(ChangedMeanwhile(version, differences(plan.before, found)))
+
+
+def _decode(value: bytes) -> Result[Configuration, NotWritten]:
+    return decode_configuration(value, "store").map_err(
+        lambda error: NotWritten(error.step, error.peer, "; ".join(error.mistakes))
+    )
--- /dev/null
+++ b/libs/cli/src/fuchsiawell/cli/configure.py
@@ -0,0 +1,38 @@
+"""The commands that lead from questions to a complete configuration."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path  # noqa: TC003 - the argument parser reads the annotations
+
+from result import Err
+
+from fuchsiawell.cli.exits import Exit, fail
+from fuchsiawell.config import encode_configuration
+from fuchsiawell.config.answers import read_answers
+from fuchsiawell.config.generate import generate
+from fuchsiawell.config.questionnaire import empty_questionnaire
+
+__all__ = ["configure", "questionnaire"]
+
+
+def questionnaire() -> Exit:
+    """Print an empty questionnaire, each question explained."""
+    sys.stdout.write(empty_questionnaire())
+    return Exit.DONE
+
+
+def configure(answers: Path) -> Exit:
+    """Print the complete configuration that the answers describe.
+
+    :param answers: file with the filled-in questionnaire
+    """
+    try:
+        text = answers.read_bytes()
+    except OSError as error:
+        return fail(f"read answers at {answers}: {error.strerror}")
+    generated = read_answers(text, str(answers)).and_then(lambda read: generate(read, str(answers)))
+    if isinstance(generated, Err):
+        return fail(generated.err_value)
+    sys.stdout.write(encode_configuration(generated.ok_value).decode())
+    return Exit.DONE
--- /dev/null
+++ b/libs/cli/src/fuchsiawell/cli/run.py
@@ -0,0 +1,43 @@
+"""Entry point of the program `fuchsiawell`."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import defopt
+
+from fuchsiawell.cli.accept import accept
+from fuchsiawell.cli.configure import configure, questionnaire
+from fuchsiawell.cli.exits import Exit, fail
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+__all__ = ["main"]
+
+COMMANDS: dict[str, Callable[..., Exit]] = {
+    "questionnaire": questionnaire,
+    "configure": configure,
+    "accept": accept,
+}
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command that `argv` names and return its exit status."""
+    try:
+        return int(
+            defopt.run(
+                COMMANDS,
+                argv=list(sys.argv[1:] if argv is None else argv),
+                version=False,
+                no_negated_flags=True,
+                argparse_kwargs={"prog": "fuchsiawell"},
+            )
+        )
+    except KeyboardInterrupt:
+        return fail("interrupted")
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has seen enough.
+        sys.stdout = None
+        return Exit.DONE
--- a/libs/config/src/fuchsiawell/config/questionnaire.py
+++ b/libs/config/src/fuchsiawell/config/questionnaire.py
@@ -77,7 +77,6 @@
     return TypeAdapter(Annotated[float, Field(gt=0, le=most)] | None)
 
 
-
 SITE_QUESTIONS = (
     Question(
         "revises",
--- a/libs/config/src/fuchsiawell/config/settings.py
+++ b/libs/config/src/fuchsiawell/config/settings.py
@@ -23,6 +23,7 @@
     "LogLevel",
     "Settings",
     "SettingsError",
+    "address_in",
     "load_settings",
     "parse_address",
     "parse_settings",
@@ -112,16 +113,21 @@
     return Address(host, int(port))
 
 
+def address_in(url: str) -> str:
+    """Return the address of an `http://IP:port` URL, or raise `ValueError`."""
+    scheme, separator, rest = url.partition("://")
+    if scheme != "http" or not separator:
+        raise ValueError(f"{url!r} is not a URL, as in http://127.0.0.1:2379")
+    return str(parse_address(rest.partition("/")[0]))
+
+
 def _checked_address(text: str) -> str:
     parse_address(text)
     return text
 
 
 def _checked_url(text: str) -> str:
-    scheme, separator, rest = text.partition("://")
-    if scheme != "http" or not separator:
-        raise ValueError(f"{text!r} is not a URL, as in http://127.0.0.1:2379")
-    parse_address(rest.partition("/")[0])
+    address_in(text)
     return text.rstrip("/")
 
 
--- a/libs/config/tests/test_codec.py
+++ b/libs/config/tests/test_codec.py
@@ -19,9 +19,8 @@
 )
 from fuchsiawell.core import CellName, ServiceName
 
-DROP = Kind(
-    "drop", False, 2.0, 0, 1_000, 600.0, StoreOutage.CONTINUE, IdStyle.MINTED, coalesce=False
-)
+DROP = Kind("drop", False, 2.0, 0, 1_000, 600.0, StoreOutage.CONTINUE, IdStyle.FREE_FORM)
+PLAN = Kind("plan", False, 2.0, 0, 1_000, 600.0, StoreOutage.CONTINUE, IdStyle.MINTED)
 LEVEL = Kind("level", True, 1.0, 0, coalesce=True)
 SERVICE = Service(
     name=ServiceName("penwatch"),
@@ -30,7 +29,7 @@
     checks_fence=True,
     checks_deadline=True,
     goal=Goal.UNAVAILABLE_TIME,
-    kinds_by_name={"level": LEVEL, "drop": DROP},
+    kinds_by_name={"plan": PLAN, "level": LEVEL, "drop": DROP},
 )
 CONFIGURATION = Configuration(
     3, CellName("viti-west"), "fiji", ("vuda", "saweni"), {SERVICE.name: SERVICE}
@@ -53,7 +52,7 @@
 
 
 def test_equal_configurations_give_equal_bytes() -> None:
-    reordered = replace(SERVICE, kinds_by_name={"drop": DROP, "level": LEVEL})
+    reordered = replace(SERVICE, kinds_by_name={"drop": DROP, "level": LEVEL, "plan": PLAN})
     other = replace(CONFIGURATION, services_by_name={SERVICE.name: reordered})
     assert encode_configuration(other) == encode_configuration(CONFIGURATION)
 
@@ -76,9 +75,21 @@
     assert expected in mistakes(document(**changes))
 
 
+def test_minted_ids_need_no_store_and_so_no_fence_to_go_on_without_it() -> None:
+    found = document(checks_fence=False)
+    del found["services"][0]["kinds"][0]
+    assert decode_configuration(json.dumps(found).encode(), "file").is_ok()
+
+
+def test_more_shards_than_an_assignment_record_holds_are_refused() -> None:
+    found = document(shard_count=4_000)
+    found["services"].append(found["services"][0] | {"name": "other"})
+    assert "more than 4096 shards together" in mistakes(found)
+
+
 def test_contradictory_kinds_and_doubled_names_are_refused() -> None:
     found = document()
-    drop, level = found["services"][0]["kinds"]
+    drop, level, _ = found["services"][0]["kinds"]
     found["services"][0]["kinds"] = [drop | {"coalesce": True}, drop | {"resend_window_s": 1.0}]
     assert "repeatable kinds only" in mistakes(found)
     assert "at least its deadline_s" in mistakes(found)
--- /dev/null
+++ b/libs/config/tests/test_generate.py
@@ -0,0 +1,40 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from fuchsiawell.config import decode_configuration, encode_configuration
+from fuchsiawell.config.answers import read_answers
+from fuchsiawell.config.generate import generate
+from fuchsiawell.core import ServiceName
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+def test_the_same_answers_give_the_same_bytes_and_a_valid_configuration() -> None:
+    text = (EXAMPLES / "kilimanjaro/answers.json").read_text()
+    first, second = (generate(read_answers(text, "a").unwrap(), "a").unwrap() for _ in range(2))
+    value = encode_configuration(first)
+    assert value == encode_configuration(second)
+    assert decode_configuration(value, "a").unwrap() == first
+
+
+@pytest.mark.parametrize(("servers", "shards"), [(1, 128), (8, 128), (9, 256), (20, 512)])
+def test_shards_are_a_power_of_two_that_a_few_servers_do_not_change(
+    servers: int, shards: int
+) -> None:
+    found = json.loads((EXAMPLES / "viti-west/answers.json").read_text())
+    found["services"][0]["backend_servers"] = servers
+    answers = read_answers(json.dumps(found), "a").unwrap()
+    services_by_name = generate(answers, "a").unwrap().services_by_name
+    assert services_by_name[ServiceName("penwatch")].shard_count == shards
+
+
+def test_more_servers_than_a_cell_can_assign_are_refused() -> None:
+    found = json.loads((EXAMPLES / "viti-west/answers.json").read_text())
+    for service in found["services"]:
+        service["backend_servers"] = 128
+    error = generate(read_answers(json.dumps(found), "a").unwrap(), "a").unwrap_err()
+    assert error.mistakes[0].question == "services"
--- a/libs/config/tests/test_settings.py
+++ b/libs/config/tests/test_settings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fuchsiawell.config import Address, Limits, LogLevel, load_settings, parse_address
+from fuchsiawell.config import Address, Limits, LogLevel, address_in, load_settings, parse_address
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -65,3 +65,9 @@
 
 def test_an_ipv6_address_keeps_its_brackets() -> None:
     assert str(parse_address("[::1]:80")) == "[::1]:80"
+
+
+def test_a_url_holds_an_address() -> None:
+    assert address_in("http://127.0.0.1:2379/") == "127.0.0.1:2379"
+    with pytest.raises(ValueError, match="is not a URL"):
+        address_in("127.0.0.1:2379")
