--- a/libs/cli/src/fuchsiawell/cli/run.py
+++ b/libs/cli/src/fuchsiawell/cli/run.py
@@ -10,6 +10,7 @@
 from fuchsiawell.cli.accept import accept
 from fuchsiawell.cli.configure import configure, questionnaire
 from fuchsiawell.cli.exits import Exit, fail
+from fuchsiawell.cli.timeline import timeline
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -20,6 +21,7 @@
     "questionnaire": questionnaire,
     "configure": configure,
     "accept": accept,
+    "timeline": timeline,
 }
 
 
