--- a/libs/ownership/src/fuchsiawell/ownership/assignment.py
+++ b/libs/ownership/src/fuchsiawell/ownership/assignment.py
@@ -38,6 +38,7 @@
     """Say what may be sent to a backend server."""
 
     ACTIVE = "active"
+    JOINING = "joining"  # serves, and gets its shards a few at a time until it has its share
     DRAINING = "draining"  # finishes what it has, gets no new shard, its shards move away
     LOST = "lost"  # its grants are proved lapsed or fenced off
 
@@ -64,6 +65,7 @@
     term: int
     state: ServerState
     checks_fence: bool  # refuses work whose term or epoch is lower than granted
+    successor: DaemonId | None = None  # set: `leader` must stop sending, then this daemon leads
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +82,8 @@
     """Hold all decisions of a cell's controller; one value in the store.
 
     A change is made only once the store has confirmed the write of the whole record. `revision`
-    is the store's and not part of the value.
+    is the store's and not part of the value. A member leads its servers only in the incarnation
+    that the record names: one that lapsed or started again needs new terms first.
     """
 
     cell: CellName
@@ -91,6 +94,8 @@
     servers_by_id: dict[ServerId, ServerRecord] = field(default_factory=dict)
     shards_by_id: dict[ShardId, ShardRecord] = field(default_factory=dict)
     pins_by_key: dict[tuple[ServiceName, str], ShardId] = field(default_factory=dict)
+    incarnations_by_member: dict[DaemonId, int] = field(default_factory=dict)
+    members_version: int = 1  # goes up by one with each change of `members`
     revision: int = 0
 
     def shard_for(self, service: ServiceName, key: str) -> ShardId | None:
@@ -98,6 +103,10 @@
         pin = self.pins_by_key.get((service, key))
         if pin is not None:
             return pin
+        return self.hash_shard_for(service, key)
+
+    def hash_shard_for(self, service: ServiceName, key: str) -> ShardId | None:
+        """Return the key's shard as if it were not pinned; `None` for an unknown service."""
         count = self.shard_count_by_service.get(service)
         return None if count is None else shard_of(service, key, count)
 
--- a/libs/ownership/src/fuchsiawell/ownership/codec.py
+++ b/libs/ownership/src/fuchsiawell/ownership/codec.py
@@ -27,10 +27,7 @@
 
 def encode_assignment(assignment: Assignment) -> bytes:
     """Return the record as msgpack, without its revision; equal records give equal bytes."""
-    servers = [
-        [s.id, s.service, s.address, s.zone, s.leader, s.term, s.state.value, s.checks_fence]
-        for _, s in sorted(assignment.servers_by_id.items())
-    ]
+    servers = [_server_fields(server) for _, server in sorted(assignment.servers_by_id.items())]
     shards = [
         [id.service, id.index, shard.owner, shard.epoch, shard.state.value, shard.moving_to]
         for id, shard in sorted(assignment.shards_by_id.items())
@@ -51,6 +48,8 @@
                 servers,
                 shards,
                 pins,
+                dict(sorted(assignment.incarnations_by_member.items())),
+                assignment.members_version,
             ]
         )
     )
@@ -68,7 +67,8 @@
 
 
 def _from_fields(fields: list[Any]) -> Assignment:
-    cell, controller, controller_term, members, counts, servers, shards, pins = fields
+    cell, controller, controller_term, members, counts, servers, shards, pins, *rest = fields
+    incarnations, members_version = rest
     return Assignment(
         cell=CellName(cell),
         controller=None if controller is None else DaemonId(controller),
@@ -81,13 +81,27 @@
             (ServiceName(service), key): ShardId(ServiceName(service), index)
             for service, key, index in pins
         },
+        incarnations_by_member={DaemonId(name): count for name, count in incarnations.items()},
+        members_version=members_version,
     )
 
 
+def _server_fields(server: ServerRecord) -> list[Any]:
+    place = [server.id, server.service, server.address, server.zone]
+    return [
+        *place,
+        server.leader,
+        server.term,
+        server.state.value,
+        server.checks_fence,
+        server.successor,
+    ]
+
+
 def _server(fields: list[Any]) -> ServerRecord:
-    id, service, address, zone, leader, term, state, checks_fence = fields
+    id, service, address, zone, leader, term, state, checks_fence, successor = fields
     return ServerRecord(
-        id, service, address, zone, leader, term, ServerState(state), bool(checks_fence)
+        id, service, address, zone, leader, term, ServerState(state), bool(checks_fence), successor
     )
 
 
