Serve a request from one end to the other through any daemon

Cause: no request could be served yet. Change: entry (uvicorn with limits on headers and connections, one ASGI endpoint), forwarding over msgpack streams, leader with a connection pool on httptools, records read from the store, operators' endpoint, graceful stop. Ownership is still read from a fixed record. Measured: 17 tests of the whole path with three daemons and two backend servers in one loop pass: fence and deadline travel, 2 MB up and 3 MB down are whole, cuts show at the other end, bad requests get 4xx as not run, a passed deadline is unknown. Ruled out: uvicorn binding its own socket, as it leaves the process when the port is taken; test ports from the ephemeral range, as outgoing connections took them. Conclusion: the path stands; control, at-most-once and admission plug into it next.

--- a/libs/core/src/fuchsiawell/core/__init__.py
+++ b/libs/core/src/fuchsiawell/core/__init__.py
@@ -5,6 +5,7 @@
 from fuchsiawell.core.clock import Clock, ManualClock, SystemClock
 from fuchsiawell.core.deadline import Deadline
 from fuchsiawell.core.errors import FuchsiawellError
+from fuchsiawell.core.headers import Header, RefusalCause, ServerPath
 from fuchsiawell.core.ids import (
     CellName,
     DaemonId,
@@ -29,6 +30,7 @@
     "Deadline",
     "EventLog",
     "FuchsiawellError",
+    "Header",
     "IdSource",
     "LamportClock",
     "ManualClock",
@@ -36,9 +38,11 @@
     "NotRunReason",
     "Outcome",
     "RandomIds",
+    "RefusalCause",
     "RequestId",
     "SeededIds",
     "ServerId",
+    "ServerPath",
     "ServiceName",
     "ShardId",
     "Step",
--- a/libs/core/src/fuchsiawell/core/outcome.py
+++ b/libs/core/src/fuchsiawell/core/outcome.py
@@ -35,7 +35,7 @@
     ID_REQUIRED = "id-required"
     ID_CONFLICT = "id-conflict"
     ID_EXPIRED = "id-expired"
-    IN_PROGRESS = "in-progress"
+    NOT_READY = "not-ready"
     NO_OWNER = "no-owner"
     NO_LEADER = "no-leader"
     MOVING = "moving"
--- a/libs/daemon/src/fuchsiawell/daemon/__init__.py
+++ b/libs/daemon/src/fuchsiawell/daemon/__init__.py
@@ -2,4 +2,8 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from fuchsiawell.daemon.application import Application
+from fuchsiawell.daemon.context import Context
+from fuchsiawell.daemon.run import serve
+
+__all__ = ["Application", "Context", "serve"]
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -0,0 +1,103 @@
+"""The daemon as an application that owns its parts and their clean-up."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from fuchsiawell.daemon.cell_state import CellState
+from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
+from fuchsiawell.daemon.leader import AssignedAuthority, Leader
+from fuchsiawell.daemon.operators import OperatorServer, StatusSource
+from fuchsiawell.daemon.records import RecordReader
+from fuchsiawell.transport import LinkHooks, PeerListener, Peers, open_loopback
+
+if TYPE_CHECKING:
+    from fuchsiawell.core import DaemonId
+    from fuchsiawell.daemon.context import Context
+    from fuchsiawell.platform import Store
+    from fuchsiawell.transport import ServerExchange
+
+__all__ = ["Application"]
+
+
+class Application(LinkHooks, StatusSource):
+    """Start the parts in order, run until told to stop, and stop them in reverse."""
+
+    def __init__(self, context: Context, store: Store) -> None:
+        self._context = context
+        settings = context.settings
+        own, clock, lamport = settings.daemon, context.clock, context.lamport
+        self.state = CellState()
+        self._store = store
+        self._reader = RecordReader(context, self.state, self._store)
+        self._leader = Leader(context, self.state, AssignedAuthority(own, self.state))
+        self._listener = PeerListener(own, clock, lamport, self)
+        self._peers = Peers(own, clock, lamport, self)
+        loopback = open_loopback(own, clock, lamport, self)
+        forwarder = Forwarder(context, self.state, self._peers, loopback)
+        self._entry = EntryApp(context, self.state, forwarder)
+        self._callers = CallerServer(self._entry, settings.caller_address, settings.limits, clock)
+        self._operators = OperatorServer(self, settings.operator_address)
+        self._stopping = asyncio.Event()
+
+    async def start(self) -> None:
+        """Open the sockets and begin to follow the cell's records."""
+        settings = self._context.settings
+        await self._operators.start()
+        await self._listener.start(settings.peer_address.host, settings.peer_address.port)
+        self._peers.start()
+        self._reader.start()
+        await self._callers.start()
+        self._context.log.event("started", daemon=settings.daemon, zone=settings.zone)
+
+    async def run(self) -> None:
+        """Run until `request_stop`, then stop gracefully."""
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; a second call changes nothing."""
+        self._stopping.set()
+
+    async def stop(self) -> None:
+        """End every request in flight, then release what `start` opened."""
+        self._context.log.event("stopping")
+        await self._callers.stop()
+        await self._leader.drain()
+        await self._reader.stop()
+        await self._leader.close()
+        await self._peers.close()
+        await self._listener.close()
+        await self._store.close()
+        await self._operators.stop()
+        self._context.log.event("stopped")
+
+    # Hooks of links.
+
+    def on_request(self, exchange: ServerExchange) -> None:
+        """Serve a request that an entry daemon sent."""
+        self._leader.on_request(exchange)
+
+    def on_control(self, sender: DaemonId, kind: str, body: Any) -> None:
+        """Take a control message."""
+
+    # What operators see.
+
+    def ready(self) -> str | None:
+        """Return why callers should not be sent here, or `None`."""
+        if self._stopping.is_set():
+            return "stopping"
+        if self.state.assignment is None or self.state.configuration is None:
+            return "no assignment or configuration yet"
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Return what this daemon knows of itself and its cell."""
+        settings = self._context.settings
+        return {"daemon": settings.daemon, "zone": settings.zone, "cell": settings.cell}
+
+    def metrics(self) -> dict[str, Any]:
+        """Return counts and latencies."""
+        return {"in_flight": self._entry.in_flight}
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/call.py
@@ -0,0 +1,187 @@
+"""One caller's request, from its path to the last byte of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from fuchsiawell.core import (
+    Deadline,
+    FuchsiawellError,
+    Header,
+    NotRun,
+    NotRunReason,
+    Step,
+)
+from fuchsiawell.daemon.entry.asgi import CONNECTION_EXTENSION
+from fuchsiawell.daemon.entry.body import CallerBody
+from fuchsiawell.daemon.entry.forward import Reply
+from fuchsiawell.daemon.entry.refusals import outcome_page
+from fuchsiawell.daemon.entry.target import Target, parse_target
+from fuchsiawell.daemon.http_fields import field, passed_on
+from fuchsiawell.transport import BodyCutError, RequestHead
+
+if TYPE_CHECKING:
+    from fuchsiawell.config import Kind
+    from fuchsiawell.core import Outcome, RequestId
+    from fuchsiawell.daemon.cell_state import CellState
+    from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.entry.asgi import CallerConnection, Receive, Scope, Send
+    from fuchsiawell.daemon.entry.forward import Forwarder
+    from fuchsiawell.transport import Headers
+
+__all__ = ["Call", "CallerGoneError"]
+
+MS_PER_S = 1000
+MAX_ID_BYTES = 255  # a longer idempotency key is refused
+
+
+class CallerGoneError(FuchsiawellError):
+    """Report that the caller's connection must be dropped, as its answer was cut."""
+
+
+class Call:
+    """Serve one request of a caller."""
+
+    def __init__(
+        self,
+        context: Context,
+        state: CellState,
+        forwarder: Forwarder,
+        request_id: RequestId,
+        asgi: tuple[Scope, Receive, Send],
+    ) -> None:
+        self._context = context
+        self._state = state
+        self._forwarder = forwarder
+        self._request_id = request_id
+        self._scope, self._receive, self._send = asgi
+        self.caller_gone = False
+
+    async def serve(self) -> None:
+        """Answer the caller with a whole answer, a proof of not run, or unknown."""
+        connection = self._watch_caller()
+        try:
+            reply = await self._ask()
+            if isinstance(reply, Reply):
+                await self._pass_on(reply)
+            else:
+                await self._describe(reply)
+        finally:
+            if connection is not None:
+                connection.on_lost = None
+
+    def _watch_caller(self) -> CallerConnection | None:
+        extensions = self._scope.get("extensions") or {}
+        connection: CallerConnection | None = extensions.get(CONNECTION_EXTENSION)
+        task = asyncio.current_task()
+        if connection is not None and task is not None:
+            connection.on_lost = lambda: self._cancel(task)
+        return connection
+
+    def _cancel(self, task: asyncio.Task[None]) -> None:
+        self.caller_gone = True
+        task.cancel()
+
+    async def _ask(self) -> Reply | Outcome:
+        own = self._context.settings.daemon
+        parsed = parse_target(self._scope["raw_path"])
+        if isinstance(parsed, Err):
+            return NotRun(NotRunReason.MALFORMED, Step.ACCEPT, own)
+        target = parsed.ok_value
+        kind = self._kind(target)
+        if isinstance(kind, NotRun):
+            return kind
+        headers: Headers = self._scope["headers"]
+        budget_s = self._budget_s(headers, kind)
+        if budget_s is None:
+            return NotRun(NotRunReason.MALFORMED, Step.ACCEPT, own)
+        id = field(headers, Header.IDEMPOTENCY_KEY.encode())
+        if id is not None and not 0 < len(id) <= MAX_ID_BYTES:
+            return NotRun(NotRunReason.MALFORMED, Step.ACCEPT, own)
+        if id is None and not kind.repeatable:
+            return NotRun(NotRunReason.ID_REQUIRED, Step.ACCEPT, own)
+        idle_s = self._context.settings.limits.body_idle_timeout_s
+        body = CallerBody(self._receive, headers, kind.max_body_bytes, idle_s, own)
+        refused = await body.start()
+        if refused is not None:
+            return refused
+        head = self._head(target, headers, budget_s, id)
+        deadline = Deadline.after(self._context.clock, budget_s)
+        return await self._forwarder.forward(head, body, deadline, kind.repeatable)
+
+    def _kind(self, target: Target) -> Kind | NotRun:
+        own = self._context.settings.daemon
+        configuration = self._state.configuration
+        if configuration is None:
+            return NotRun(NotRunReason.NOT_READY, Step.ACCEPT, own, 1.0)
+        if target.service not in configuration.services_by_name:
+            return NotRun(NotRunReason.UNKNOWN_SERVICE, Step.ACCEPT, own)
+        kind = configuration.kind(target.service, target.kind)
+        return kind or NotRun(NotRunReason.UNKNOWN_KIND, Step.ACCEPT, own)
+
+    def _budget_s(self, headers: Headers, kind: Kind) -> float | None:
+        asked = field(headers, Header.DEADLINE_MS.encode())
+        if asked is None:
+            return kind.deadline_s
+        if not asked.isascii() or not asked.isdigit():
+            return None
+        return min(kind.deadline_s, int(asked) / MS_PER_S)
+
+    def _head(
+        self, target: Target, headers: Headers, budget_s: float, id: str | None
+    ) -> RequestHead:
+        query = self._scope["query_string"]
+        path = self._scope["raw_path"].decode("latin-1")
+        client = self._scope.get("client")
+        return RequestHead(
+            self._request_id,
+            target.service,
+            target.kind,
+            target.key,
+            self._scope["method"],
+            f"{path}?{query.decode('latin-1')}" if query else path,
+            passed_on(headers),
+            budget_s,
+            id,
+            client[0] if client else "",
+        )
+
+    async def _pass_on(self, reply: Reply) -> None:
+        exchange = reply.exchange
+        headers = [
+            *reply.head.headers,
+            (Header.OUTCOME.encode(), b"answered"),
+            (Header.REQUEST_ID.encode(), self._request_id.encode()),
+        ]
+        start = {"type": "http.response.start", "status": reply.head.status, "headers": headers}
+        try:
+            await self._send(start)
+            whole = exchange.whole
+            await self._send_body(exchange.take_body(), more=not whole)
+            while not whole:
+                chunk = await exchange.next_chunk()
+                whole = not chunk
+                await self._send_body(chunk, more=not whole)
+        except BodyCutError as error:
+            raise CallerGoneError(Step.ANSWER, error.peer, error.detail) from error
+        finally:
+            exchange.close()
+
+    async def _send_body(self, chunk: bytes, more: bool) -> None:
+        await self._send({"type": "http.response.body", "body": chunk, "more_body": more})
+
+    async def _describe(self, outcome: Outcome) -> None:
+        page = outcome_page(outcome, self._request_id)
+        self._context.log.event(
+            "refused",
+            outcome=outcome,
+            request=self._request_id,
+            path=self._scope["path"],
+        )
+        await self._send(
+            {"type": "http.response.start", "status": page.status, "headers": page.headers}
+        )
+        await self._send_body(page.body, more=False)
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
@@ -0,0 +1,137 @@
+"""From the entry daemon to the leader of a key, again where that is proved harmless."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from fuchsiawell.core import NotRun, NotRunReason, Step, Unknown
+from fuchsiawell.transport import AnswerHead, BodyCutError
+
+if TYPE_CHECKING:
+    from fuchsiawell.core import Deadline, Outcome
+    from fuchsiawell.daemon.cell_state import CellState
+    from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.entry.body import CallerBody
+    from fuchsiawell.transport import ClientExchange, Link, Peers, RequestHead
+
+__all__ = ["Forwarder", "Reply"]
+
+# Reasons that pass as soon as this daemon knows the new owner or leader of the key.
+REROUTED = frozenset(
+    {
+        NotRunReason.NO_OWNER,
+        NotRunReason.NO_LEADER,
+        NotRunReason.MOVING,
+        NotRunReason.FENCED,
+        NotRunReason.STOPPING,
+        NotRunReason.UNREACHABLE,
+    }
+)
+FIRST_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.2
+LEADER_GRACE_S = 0.05  # the leader's own word on a passed deadline is awaited so much longer
+MAX_ATTEMPTS = 40  # with `MAX_BACKOFF_S` between them, more than any recovery takes
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold the head of an answer whose body follows on the exchange."""
+
+    head: AnswerHead
+    exchange: ClientExchange
+
+
+class Forwarder:
+    """Find the leader of a key and pass requests to it."""
+
+    def __init__(self, context: Context, state: CellState, peers: Peers, loopback: Link) -> None:
+        self._context = context
+        self._state = state
+        self._peers = peers
+        self._loopback = loopback
+
+    async def forward(
+        self, head: RequestHead, body: CallerBody, deadline: Deadline, repeatable: bool
+    ) -> Reply | Outcome:
+        """Return the leader's reply; a short body is sent again where that cannot harm."""
+        replayable = body.whole
+        outcome: Outcome = NotRun(NotRunReason.DEADLINE, Step.ROUTE, head.service)
+        backoff_s = FIRST_BACKOFF_S
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            head.attempt = attempt
+            head.deadline_s = deadline.remaining_s(self._context.clock)
+            if head.deadline_s <= 0:
+                return outcome
+            match await self._ask(head, body):
+                case Reply() as reply:
+                    return reply
+                case NotRun(reason) as outcome if replayable and reason in REROUTED:
+                    pass
+                case Unknown() as outcome if replayable and repeatable:
+                    pass
+                case other:
+                    return other
+            await self._news_or_backoff(backoff_s)
+            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+        return outcome
+
+    async def _ask(self, head: RequestHead, body: CallerBody) -> Reply | Outcome:
+        link = await self._link(head)
+        if isinstance(link, NotRun):
+            return link
+        exchange = link.open(head, body.first_chunk, body.whole)
+        pump = None if body.whole else asyncio.create_task(body.pump(exchange))
+        try:
+            async with asyncio.timeout(head.deadline_s + LEADER_GRACE_S):
+                reply = await exchange.reply
+        except BodyCutError as error:
+            exchange.close()
+            return Unknown(Step.FORWARD, error.peer, error.detail)
+        except TimeoutError:
+            exchange.close()
+            return Unknown(Step.FORWARD, link.peer, "no answer before the deadline")
+        except asyncio.CancelledError:
+            exchange.close()
+            raise
+        if isinstance(reply, AnswerHead):
+            return Reply(reply, exchange)
+        exchange.close()
+        if pump is not None:
+            pump.cancel()
+        return reply
+
+    async def _link(self, head: RequestHead) -> Link | NotRun:
+        own = self._context.settings.daemon
+        assignment = self._state.assignment
+        if assignment is None:
+            return NotRun(NotRunReason.NO_OWNER, Step.ROUTE, own, MAX_BACKOFF_S)
+        route = assignment.route(head.service, head.key)
+        if route is None:
+            return NotRun(NotRunReason.UNKNOWN_SERVICE, Step.ROUTE, own)
+        if route.server is None:
+            return NotRun(NotRunReason.NO_OWNER, Step.ROUTE, own, MAX_BACKOFF_S)
+        leader = route.server.leader
+        if leader is None:
+            return NotRun(NotRunReason.NO_LEADER, Step.ROUTE, own, MAX_BACKOFF_S)
+        if leader == own:
+            return self._loopback
+        ready = self._peers.ready_link(leader)
+        if ready is not None:
+            return ready
+        match await self._peers.link(leader):
+            case Ok(link):
+                return link
+            case Err(_):
+                return NotRun(NotRunReason.UNREACHABLE, Step.FORWARD, leader, MAX_BACKOFF_S)
+
+    async def _news_or_backoff(self, backoff_s: float) -> None:
+        jittered_s = backoff_s * (0.5 + self._context.random.random())
+        try:
+            async with asyncio.timeout(jittered_s):
+                await self._state.changed()
+        except TimeoutError:
+            pass
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
@@ -0,0 +1,105 @@
+"""One request on one connection: body out, answer back, and what its end proves."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fuchsiawell.core import Header, NotRun, NotRunReason, RefusalCause, Step, Unknown
+from fuchsiawell.daemon.http_fields import field, passed_on
+from fuchsiawell.daemon.leader.connection import AnswerCutError
+from fuchsiawell.transport import AnswerHead, BodyCutError
+
+if TYPE_CHECKING:
+    from fuchsiawell.core import Outcome
+    from fuchsiawell.daemon.leader.authority import Permit
+    from fuchsiawell.daemon.leader.connection import Connection, ServerAnswer
+    from fuchsiawell.transport import Headers, ServerExchange
+
+__all__ = ["FirstPart", "request_headers", "send_request", "stream_answer"]
+
+REASON_BY_CAUSE = {
+    RefusalCause.FENCE.value: NotRunReason.FENCED,
+    RefusalCause.DEADLINE.value: NotRunReason.DEADLINE,
+    RefusalCause.SHED.value: NotRunReason.SHED,
+    RefusalCause.DRAIN.value: NotRunReason.REFUSED_BY_SERVER,
+}
+RETRY_AFTER_REFUSAL_S = 0.1
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class FirstPart:
+    """Hold the beginning of a request's body."""
+
+    chunk: bytes
+    end: bool  # the chunk is the whole body
+
+
+def request_headers(
+    exchange: ServerExchange, shard: str, permit: Permit, deadline_s: float
+) -> Headers:
+    """Return the fields for the backend server: the caller's, and the fence."""
+    return [
+        *exchange.head.headers,
+        (Header.REQUEST_ID.encode(), exchange.head.request_id.encode()),
+        (Header.SHARD.encode(), shard.encode()),
+        (Header.TERM.encode(), b"%d" % permit.term),
+        (Header.EPOCH.encode(), b"%d" % permit.epoch),
+        (Header.DEADLINE_MS.encode(), b"%d" % max(0, int(deadline_s * MS_PER_S))),
+    ]
+
+
+async def send_request(
+    connection: Connection, exchange: ServerExchange, headers: Headers, first: FirstPart
+) -> ServerAnswer | Outcome:
+    """Send a request and wait for the head of its answer, or say what its failure proves."""
+    head = exchange.head
+    connection.begin(head.method, head.target, headers, first.chunk, first.end)
+    upload = None if first.end else asyncio.create_task(_send_body(connection, exchange))
+    try:
+        answer = await connection.answer()
+    except AnswerCutError as error:
+        return Unknown(Step.RUN, connection.peer, error.detail)
+    finally:
+        if upload is not None and not upload.done():
+            # Whatever the server says before it has the whole body, the rest is not wanted.
+            upload.cancel()
+    return await _refusal(connection, answer) or answer
+
+
+async def stream_answer(
+    connection: Connection, exchange: ServerExchange, answer: ServerAnswer
+) -> None:
+    """Pass the answer on as it comes; raise `AnswerCutError` or `BodyCutError` where it is cut."""
+    head = AnswerHead(answer.status, passed_on(answer.headers))
+    chunk = connection.take()
+    exchange.answer(head, chunk, end=connection.complete)
+    while not exchange.sent_end:
+        chunk = await connection.next_chunk()
+        await exchange.send(chunk, end=connection.complete)
+
+
+async def _send_body(connection: Connection, exchange: ServerExchange) -> None:
+    try:
+        while chunk := await exchange.next_chunk():
+            await connection.send(chunk)
+    except BodyCutError as error:
+        # Closing without the final chunk shows the server that the body was cut.
+        connection.close(f"request body cut: {error.detail}")
+        return
+    connection.finish()
+
+
+async def _refusal(connection: Connection, answer: ServerAnswer) -> Outcome | None:
+    cause = field(answer.headers, Header.REFUSED.encode())
+    reason = REASON_BY_CAUSE.get(cause or "")
+    if reason is None:
+        return None
+    try:
+        while await connection.next_chunk():
+            pass
+    except AnswerCutError:
+        pass  # the refusal's text is of no use; its head is the proof
+    return NotRun(reason, Step.RUN, connection.peer, RETRY_AFTER_REFUSAL_S)
--- a/libs/ownership/src/fuchsiawell/ownership/__init__.py
+++ b/libs/ownership/src/fuchsiawell/ownership/__init__.py
@@ -27,6 +27,7 @@
     ServerState,
     ShardRecord,
     ShardState,
+    assignment_key,
 )
 from fuchsiawell.ownership.codec import (
     AssignmentFormatError,
@@ -106,6 +107,7 @@
     "Ticket",
     "UnpinKey",
     "decide",
+    "assignment_key",
     "decode_assignment",
     "encode_assignment",
     "first_assignment",
--- a/libs/ownership/src/fuchsiawell/ownership/assignment.py
+++ b/libs/ownership/src/fuchsiawell/ownership/assignment.py
@@ -19,6 +19,7 @@
     "ServerState",
     "ShardRecord",
     "ShardState",
+    "assignment_key",
 ]
 
 FIRST_PIN_INDEX = 1_000_000  # shards from here on hold one pinned key each
@@ -128,3 +129,8 @@
     def shards_of(self, server: ServerId) -> Iterator[tuple[ShardId, ShardRecord]]:
         """Yield the shards that `server` owns, those it is to release included."""
         return ((id, shard) for id, shard in self.shards_by_id.items() if shard.owner == server)
+
+
+def assignment_key(cell: CellName) -> str:
+    """Return the store's key of the cell's assignment record."""
+    return f"cells/{cell}/assignment"
--- a/libs/transport/src/fuchsiawell/transport/__init__.py
+++ b/libs/transport/src/fuchsiawell/transport/__init__.py
@@ -12,6 +12,7 @@
 )
 from fuchsiawell.transport.link import Link, LinkHooks
 from fuchsiawell.transport.listener import PeerListener
+from fuchsiawell.transport.loopback import open_loopback
 from fuchsiawell.transport.peers import Peers, Unreachable
 
 __all__ = [
@@ -28,4 +29,5 @@
     "RequestHead",
     "ServerExchange",
     "Unreachable",
+    "open_loopback",
 ]
