Pack the tested packages into the one-file program

Cause: make build resolved the packages a second time over the network and built each library in an isolated environment with an unpinned setuptools; without an index it failed. Change: the pinned run packages are copied out of the environment that ran the tests, the shipped libraries beside them (without stand-ins, model and bench), and shiv packs that folder. The target then starts the file from a fresh folder, once plainly and once under an audit hook that fails when a process is started. Conclusion: one file that starts no other process; it fits the Python version that packed it.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 LIBS := core platform config ownership once load transport daemon cli standins model bench
+SHIPPED := core platform config ownership once load transport daemon cli
 SPACE := $(subst ,, )
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src))
 export PYTHONHASHSEED := 0
@@ -41,6 +42,15 @@
 demo: install
 	$(VENV)/bin/python -m fuchsiawell.standins.demo
 
+# The bundled interpreter modules fit the Python that packed them; the target's python3 must match.
 build: install
-	mkdir -p dist
-	$(VENV)/bin/shiv --quiet -c fuchsiawell -o dist/fuchsiawell -r requirements/run.txt $(foreach lib,$(LIBS),./libs/$(lib))
+	rm -rf build/site build/unpacked && mkdir -p build/site dist
+	$(VENV)/bin/python tools/collect_packages.py requirements/run.txt build/site
+	cp -R $(foreach lib,$(SHIPPED),libs/$(lib)/src/fuchsiawell) build/site
+	find build/site -name __pycache__ -prune -exec rm -rf {} +
+	$(VENV)/bin/shiv --site-packages build/site --entry-point fuchsiawell.cli.run:main \
+		--reproducible --python "/usr/bin/env python3" \
+		--output-file dist/fuchsiawell
+	SHIV_ROOT=build/unpacked env -u PYTHONPATH dist/fuchsiawell --help > /dev/null
+	SHIV_ROOT=build/unpacked env -u PYTHONPATH SHIV_FORCE_EXTRACT=1 \
+		$(VENV)/bin/python tools/check_program.py dist/fuchsiawell questionnaire > /dev/null
