--- a/libs/once/src/fuchsiawell/once/__init__.py
+++ b/libs/once/src/fuchsiawell/once/__init__.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from fuchsiawell.once.journal import (
+    Journal,
+    JournalLimits,
+    JournalState,
+    journal_key,
+    journal_prefix,
+)
 from fuchsiawell.once.ledger import Ledger, LedgerError, LedgerLimits
 from fuchsiawell.once.minted import Mint
+from fuchsiawell.once.places import Places, place_of
 from fuchsiawell.once.records import (
     Conflict,
     Decision,
@@ -24,6 +32,7 @@
 )
 from fuchsiawell.once.requests import OnceRequest, OutagePolicy, content_digest
 from fuchsiawell.once.rules import (
+    REROUTE_REASONS,
     AnswerCut,
     Attempt,
     Backoff,
@@ -38,8 +47,10 @@
     outcome_of,
     outcome_unseen,
 )
+from fuchsiawell.once.runner import Exchanged, OnceResult, OnceRunner
 
 __all__ = [
+    "REROUTE_REASONS",
     "AnswerCut",
     "Attempt",
     "Backoff",
@@ -48,9 +59,13 @@
     "DeadlinePassed",
     "Decision",
     "End",
+    "Exchanged",
     "FoundIntent",
     "HandOver",
     "InProgress",
+    "Journal",
+    "JournalLimits",
+    "JournalState",
     "JournalsRead",
     "KeptAnswer",
     "Ledger",
@@ -60,7 +75,10 @@
     "NeverSent",
     "NotOpen",
     "OnceRequest",
+    "OnceResult",
+    "OnceRunner",
     "OutagePolicy",
+    "Places",
     "Record",
     "Refuse",
     "Refused",
@@ -74,6 +92,9 @@
     "WholeAnswer",
     "content_digest",
     "decide_retry",
+    "journal_key",
+    "journal_prefix",
     "outcome_of",
     "outcome_unseen",
+    "place_of",
 ]
--- a/libs/once/src/fuchsiawell/once/ledger.py
+++ b/libs/once/src/fuchsiawell/once/ledger.py
@@ -61,6 +61,7 @@
     """Bound the ledger's memory and the life of issued ids."""
 
     max_records: int = 40_000  # received, running, ended and found in journals
+    max_refused: int = 10_000  # beyond those, of ids refused because of that bound
     max_answer_bytes: int = 8_000_000  # bodies beyond are dropped, oldest first; the fact stays
     issued_use_s: float = 900.0  # an issued id starts no work later than this
     issued_resend_s: float = 900.0  # and is remembered for this long after
@@ -100,7 +101,10 @@
         identity = request.identity
         record = self._records.get(identity)
         if record is not None:
-            return self._again(record, request)
+            again = self._again(record, request, now_s)
+            if again is not None:
+                return again
+            del self._records[identity]
         found = self._found.get(identity)
         if found is not None:
             same = found[0].content == request.content
@@ -130,12 +134,22 @@
         if answer is not None and self._records.get(ticket.identity) is ticket:
             self._keep(ticket, answer)
 
-    def not_run(self, ticket: Record) -> None:
-        """Forget a request that is proved not to have run, so that a resend may run."""
+    def not_run(self, ticket: Record, reason: NotRunReason, quiet_s: float = 0.0) -> None:
+        """Note a proof that it did not run; a copy that arrives after `quiet_s` may run.
+
+        Until then every copy is refused, so that a late one cannot make the refusal false.
+        """
         if ticket.state is RecordState.ANSWERED:
             raise LedgerError("not run", str(ticket.shard), "it was answered")
-        if self._records.get(ticket.identity) is ticket:
+        if self._records.get(ticket.identity) is not ticket:
+            return
+        if quiet_s <= 0:
             del self._records[ticket.identity]
+            return
+        ticket.state = RecordState.NOT_RUN
+        ticket.refused = reason
+        ticket.expires_s = self._clock.monotonic() + quiet_s
+        self._await_expiry(ticket.identity, ticket.expires_s)
 
     def unknown(self, ticket: Record) -> None:
         """Note that it was sent and its end will not be known."""
@@ -156,20 +170,25 @@
         """Tell whether new never-repeat work of the shard, or of the key in it, is taken."""
         return self._hold(shard, key) is not None
 
-    def take_over(self, scope: Scope, stopped: Stopped, read: JournalsRead | None = None) -> None:
-        """Open a scope after an unclean loss, or one that nobody led before.
+    def take_over(
+        self, scopes: Iterable[Scope], stopped: Stopped, read: JournalsRead | None = None
+    ) -> None:
+        """Open scopes after an unclean loss, or such that nobody led before.
 
         An id that no journal shows may run only because earlier leaders had stopped for certain
         before the journals were read; `LedgerError` otherwise.
         """
         if stopped.how is StoppedBy.NEVER_LED:
-            self._open(scope, ())
+            for scope in scopes:
+                self._open(scope, ())
             return
         if read is None or read.started_s < stopped.at_s:
-            raise LedgerError("take over", str(scope.shard), "journals not read since it stopped")
+            raise LedgerError("take over", stopped.how.name, "journals not read since it stopped")
         self._add_found(read.intents)
-        window_s = read.unjournaled_s_by_service.get(scope.shard.service, 0.0)
-        self._open(scope, (), self._clock.monotonic() + window_s if window_s else 0.0)
+        now_s = self._clock.monotonic()
+        for scope in scopes:
+            window_s = read.unjournaled_s_by_service.get(scope.shard.service, 0.0)
+            self._open(scope, (), now_s + window_s)
 
     def accept(self, given: HandOver, scope_by_old: dict[Scope, Scope] | None = None) -> None:
         """Open scopes with all that their earlier leader knew.
@@ -222,7 +241,9 @@
 
     # -- private -------------------------------------------------------------------------------
 
-    def _again(self, record: Record, request: OnceRequest) -> Decision:
+    def _again(self, record: Record, request: OnceRequest, now_s: float) -> Decision | None:
+        if record.state is RecordState.NOT_RUN:
+            return self._refused_before(record, request, now_s)
         if record.content != request.content:
             return Conflict()
         if record.caller != request.caller:
@@ -235,6 +256,16 @@
             return UnknownBefore("it ran; its answer is no longer kept")
         return UnknownBefore("sent before, and its end was not seen")
 
+    def _refused_before(
+        self, record: Record, request: OnceRequest, now_s: float
+    ) -> Decision | None:
+        if record.expires_s <= now_s or record.refused is None:
+            return None
+        if record.content != request.content:
+            record.expires_s = max(record.expires_s, now_s + request.quiet_s)
+            return Conflict()
+        return Refuse(record.refused, record.expires_s - now_s)
+
     def _first(self, request: OnceRequest, identity: bytes, hold: Hold, now_s: float) -> Decision:
         expires_s = now_s + request.resend_window_s
         match check_id(request.id, hold.tenures, request.service, request.key, now_s):
@@ -253,9 +284,28 @@
                 if now_s < hold.unjournaled_until_s:
                     return UnknownBefore("a lost leader may have run it without a journal")
         if len(self) >= self._limits.max_records:
-            return Refuse(NotRunReason.LEDGER_FULL, self._next_expiry_s(now_s))
+            return self._full(request, identity, now_s)
         return self._run(request, identity, hold, expires_s)
 
+    def _full(self, request: OnceRequest, identity: bytes, now_s: float) -> Decision:
+        full = NotRunReason.LEDGER_FULL
+        if request.quiet_s > 0:
+            if len(self) >= self._limits.max_records + self._limits.max_refused:
+                return UnknownBefore("ledger full; an earlier copy may still arrive")
+            self._remember(
+                Record(
+                    identity,
+                    request.shard,
+                    request.key,
+                    request.content,
+                    request.caller,
+                    now_s + request.quiet_s,
+                    RecordState.NOT_RUN,
+                    refused=full,
+                )
+            )
+        return Refuse(full, max(request.quiet_s, self._next_expiry_s(now_s)))
+
     def _run(self, request: OnceRequest, identity: bytes, hold: Hold, expires_s: float) -> Run:
         needs_intent = not request.id.startswith(PREFIX)
         state = RecordState.RECEIVED if needs_intent else RecordState.INTENT
@@ -366,10 +416,15 @@
             return
         if known is not None:
             self._drop_answer(known)
-        state = RecordState.ANSWERED if handed.answered else RecordState.UNKNOWN
-        expires_s = now_s + handed.expires_in_s
         record = Record(
-            handed.identity, shard, handed.key, handed.content, handed.caller, expires_s, state
+            handed.identity,
+            shard,
+            handed.key,
+            handed.content,
+            handed.caller,
+            now_s + handed.expires_in_s,
+            handed.state,
+            refused=handed.refused,
         )
         self._remember(record)
         if handed.answer is not None:
@@ -383,6 +438,7 @@
             record.content,
             record.caller,
             max(0.0, record.expires_s - now_s),
-            record.state is RecordState.ANSWERED,
+            RecordState.UNKNOWN if record.in_progress else record.state,
             record.answer,
+            record.refused,
         )
--- a/libs/once/src/fuchsiawell/once/records.py
+++ b/libs/once/src/fuchsiawell/once/records.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto, unique
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from fuchsiawell.core import NotRunReason, ServiceName, ShardId
     from fuchsiawell.once.minted import Tenure, TenureSet
+    from fuchsiawell.once.places import Places
 
 __all__ = [
     "Conflict",
@@ -74,11 +75,12 @@
     SENT = auto()
     ANSWERED = auto()
     UNKNOWN = auto()
+    NOT_RUN = auto()  # told so; kept only while an earlier copy may still arrive
 
 
 @dataclass(slots=True, eq=False)
 class Record:
-    """Hold what the leader knows of one id; proved not to have run means no record."""
+    """Hold what the leader knows of one id."""
 
     identity: bytes
     shard: ShardId
@@ -89,6 +91,7 @@
     state: RecordState
     hold: Hold | None = None  # under which it was received; none for records handed over
     answer: KeptAnswer | None = None
+    refused: NotRunReason | None = None
 
     @property
     def in_progress(self) -> bool:
@@ -174,6 +177,7 @@
 
     identity: bytes
     content: bytes
+    place: bytes  # of `place_of`
     resend_window_s: float
 
 
@@ -185,6 +189,11 @@
     intents: tuple[FoundIntent, ...] = ()
     unjournaled_s_by_service: dict[ServiceName, float] = field(default_factory=dict)
 
+    def only(self, places: Places) -> JournalsRead:
+        """Return the same without intents of keys that lie elsewhere."""
+        intents = tuple(intent for intent in self.intents if places.covers(intent.place))
+        return replace(self, intents=intents)
+
 
 @dataclass(frozen=True, slots=True)
 class HandedRecord:
@@ -196,8 +205,9 @@
     content: bytes
     caller: bytes
     expires_in_s: float
-    answered: bool
+    state: RecordState  # ANSWERED, UNKNOWN or NOT_RUN
     answer: KeptAnswer | None
+    refused: NotRunReason | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/once/src/fuchsiawell/once/requests.py
+++ b/libs/once/src/fuchsiawell/once/requests.py
@@ -7,6 +7,9 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from fuchsiawell.once.places import place_of
+from fuchsiawell.once.rules import Attempt
+
 if TYPE_CHECKING:
     from fuchsiawell.core import ServiceName, ShardId
 
@@ -61,6 +64,13 @@
     resend_window_s: float  # how long a caller may send the same request again
     caller: bytes = ANONYMOUS  # digest of the caller's credentials
     on_outage: OutagePolicy = OutagePolicy.REFUSE
+    attempt: Attempt = Attempt.UNMARKED
+    lingers_s: float = 15.0  # how long an earlier copy may be on its way: longest deadline + stall
+
+    @property
+    def quiet_s(self) -> float:
+        """Return for how long a refusal told to the caller must hold for every copy."""
+        return 0.0 if self.attempt is Attempt.FIRST else self.lingers_s
 
     @property
     def identity(self) -> bytes:
@@ -71,3 +81,8 @@
         """
         parts = (self.service.encode(), self.key.encode(), self.id.encode())
         return digest_of(parts, IDENTITY_BYTES)
+
+    @property
+    def place(self) -> bytes:
+        """Return where the key lies."""
+        return place_of(self.key)
--- a/libs/once/src/fuchsiawell/once/rules.py
+++ b/libs/once/src/fuchsiawell/once/rules.py
@@ -21,6 +21,7 @@
     "End",
     "GiveUp",
     "NeverSent",
+    "REROUTE_REASONS",
     "Refused",
     "RetryAfter",
     "RetryBudget",
@@ -31,17 +32,20 @@
     "outcome_unseen",
 ]
 
-RETRYABLE_REASONS = frozenset(
+# Another leader may take the work at once; the entry daemon asks it before it tells the caller.
+REROUTE_REASONS = frozenset(
     {
-        NotRunReason.UNREACHABLE,
         NotRunReason.FENCED,
         NotRunReason.MOVING,
         NotRunReason.NO_LEADER,
         NotRunReason.NO_OWNER,
         NotRunReason.STOPPING,
-        NotRunReason.REFUSED_BY_SERVER,
     }
 )
+RETRYABLE_REASONS = REROUTE_REASONS | {
+    NotRunReason.UNREACHABLE,
+    NotRunReason.REFUSED_BY_SERVER,
+}
 REASON_BY_CAUSE = {
     RefusalCause.FENCE: NotRunReason.FENCED,
     RefusalCause.DEADLINE: NotRunReason.DEADLINE,
@@ -129,10 +133,11 @@
 
 
 def outcome_unseen(refusal: NotRun, attempt: Attempt) -> Outcome:
-    """Return what to say where work is refused without asking the ledger about its id.
+    """Return what to tell the caller where no leader's ledger vouches for the refusal.
 
-    An earlier copy of a never-repeat request may have run, so its refusal proves nothing about
-    the work itself unless this is stated to be the first copy.
+    That is where the entry daemon refuses by itself, and where a leader refused for one of
+    `REROUTE_REASONS` and no other took the work. An earlier copy of a never-repeat request may
+    have run or may still do so, unless this is stated to be the first copy.
     """
     match attempt:
         case Attempt.REPEATABLE | Attempt.FIRST:
--- a/libs/once/tests/test_ledger.py
+++ b/libs/once/tests/test_ledger.py
@@ -24,6 +24,7 @@
     UnknownBefore,
 )
 from fuchsiawell.once.requests import OnceRequest, OutagePolicy
+from fuchsiawell.once.rules import Attempt
 
 DROPS = ServiceName("dropline")
 SHARD = ShardId(DROPS, 3)
@@ -44,14 +45,14 @@
         self.ledger = Ledger(self.clock, Mint(name.ljust(8, b"-"), b"s" * 16 + name), limits)
 
     def led(self) -> Host:
-        self.ledger.take_over(Scope(SHARD), NEVER_LED)
+        self.ledger.take_over([Scope(SHARD)], NEVER_LED)
         return self
 
     def after_loss(self, *intents: FoundIntent, **waits: float) -> Host:
         stopped = Stopped(StoppedBy.FENCED, self.clock.monotonic())
         by_service = {ServiceName(name): wait for name, wait in waits.items()}
         read = JournalsRead(self.clock.monotonic(), intents, by_service)
-        self.ledger.take_over(Scope(SHARD), stopped, read)
+        self.ledger.take_over([Scope(SHARD)], stopped, read)
         return self
 
     def run(self, asked: OnceRequest) -> Record:
@@ -85,7 +86,7 @@
     assert host.ledger.begin(request()) == Replay(ANSWER)
     host.ledger.unknown(host.sent(request("r2")))
     assert isinstance(host.ledger.begin(request("r2")), UnknownBefore)
-    host.ledger.not_run(host.sent(request("r3")))
+    host.ledger.not_run(host.sent(request("r3")), NotRunReason.SHED)
     assert isinstance(host.ledger.begin(request("r3")), Run)
 
 
@@ -110,12 +111,12 @@
     stopped = Stopped(StoppedBy.LAPSED, 50.0)
     for read in (None, JournalsRead(49.0)):
         with pytest.raises(LedgerError):
-            host.ledger.take_over(Scope(SHARD), stopped, read)
+            host.ledger.take_over([Scope(SHARD)], stopped, read)
     assert host.ledger.begin(request()) == NotOpen()
 
 
 def test_found_intents_never_run_until_their_window_ended() -> None:
-    found = FoundIntent(request().identity, b"content1", 600.0)
+    found = FoundIntent(request().identity, b"content1", request().place, 600.0)
     host = Host(b"b").after_loss(found)
     assert isinstance(host.ledger.begin(request()), UnknownBefore)
     assert host.ledger.begin(replace(request(), content=b"content2")) == Conflict()
@@ -185,6 +186,21 @@
     assert host.ledger.begin(request()) == Replay(ANSWER)
 
 
+def test_a_refusal_told_holds_for_late_copies() -> None:
+    host = Host(b"a", LedgerLimits(max_records=1, max_refused=1)).led()
+    host.ledger.not_run(host.sent(request()), NotRunReason.SHED, 15.0)
+    host.clock.advance(14)
+    assert host.ledger.begin(request()) == Refuse(NotRunReason.SHED, 1.0)
+    host.clock.advance(1)
+    host.answered(request())
+    assert host.ledger.begin(request("r2")) == Refuse(NotRunReason.LEDGER_FULL, 15.0)
+    host.clock.advance(10)
+    assert host.ledger.begin(request("r2")) == Refuse(NotRunReason.LEDGER_FULL, 5.0)
+    assert isinstance(host.ledger.begin(request("r3")), UnknownBefore)
+    first = host.ledger.begin(replace(request("r3"), attempt=Attempt.FIRST))
+    assert isinstance(first, Refuse)
+
+
 def test_bodies_go_before_facts() -> None:
     host = Host(b"a", LedgerLimits(max_answer_bytes=ANSWER.size + 1)).led()
     host.answered(request())
@@ -247,7 +263,7 @@
     key = Scope(SHARD, "pen-4")
     second.ledger.accept(first.ledger.hand_over([key]), {key: Scope(PIN)})
     second.answered(request(id, shard=PIN))
-    first.ledger.take_over(key, Stopped(StoppedBy.FENCED, 0.0), JournalsRead(0.0))
+    first.ledger.take_over([key], Stopped(StoppedBy.FENCED, 0.0), JournalsRead(0.0))
     assert isinstance(first.ledger.begin(request(id)), UnknownBefore)
 
 
