Add call budgets, read retries, resolved writes and a watcher to the store client

A write whose answer is lost is looked up by its value and sent again only where the key is unchanged, as at most one of equal compare-and-swaps takes effect. Where another write covered the traces it stays unknown.

--- a/libs/platform/src/fuchsiawell/platform/__init__.py
+++ b/libs/platform/src/fuchsiawell/platform/__init__.py
@@ -1,11 +1,15 @@
-"""Client side of the platform's key-value store and host list."""
+"""Client side of the platform's key-value service and host list."""
 
 from __future__ import annotations
 
+from fuchsiawell.platform.backoff import Backoff, BackoffSettings, RetryBudget
+from fuchsiawell.platform.budgeted_store import BudgetedStore, CallBudget, StoreMetrics
 from fuchsiawell.platform.calls import CallCounts, CallKind
 from fuchsiawell.platform.hosts import ENTRY_ROLE, Host, HostList, HostState
 from fuchsiawell.platform.http_hosts import HttpHostList
 from fuchsiawell.platform.http_store import HttpStore
+from fuchsiawell.platform.resolve import resolve_put
+from fuchsiawell.platform.retrying_store import RetryingStore
 from fuchsiawell.platform.store import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -20,12 +24,18 @@
     Unavailable,
     WriteError,
 )
+from fuchsiawell.platform.token_bucket import TokenBucket
+from fuchsiawell.platform.watcher import watch_key
 
 __all__ = [
     "ABSENT",
     "ENTRY_ROLE",
     "MAX_VALUE_BYTES",
     "AnswerLost",
+    "Backoff",
+    "BackoffSettings",
+    "BudgetedStore",
+    "CallBudget",
     "CallCounts",
     "CallKind",
     "Conflict",
@@ -37,9 +47,15 @@
     "LeaseId",
     "LeaseLapsed",
     "Record",
+    "RetryBudget",
+    "RetryingStore",
     "Revision",
     "Store",
     "StoreError",
+    "StoreMetrics",
+    "TokenBucket",
     "Unavailable",
     "WriteError",
+    "resolve_put",
+    "watch_key",
 ]
