Admit requests at the leader by slots and deadlines

Cause: the thin path sent everything at once, past the slots of a backend server. Change: a gate for each server runs the admission decisions; the authority counts what is in flight with the tickets of the ownership library in place of a second count here.

--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -7,7 +7,7 @@
 
 from fuchsiawell.daemon.cell_state import CellState
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
-from fuchsiawell.daemon.leader import AssignedAuthority, Leader
+from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService
 from fuchsiawell.daemon.operators import OperatorServer, StatusSource
 from fuchsiawell.daemon.records import RecordReader
 from fuchsiawell.transport import LinkHooks, PeerListener, Peers, open_loopback
@@ -31,7 +31,7 @@
         self.state = CellState()
         self._store = store
         self._reader = RecordReader(context, self.state, self._store)
-        self._leader = Leader(context, self.state, AssignedAuthority(own, self.state))
+        self._leader = LeaderService(context, self.state, AssignedAuthority(own, self.state))
         self._listener = PeerListener(own, clock, lamport, self)
         self._peers = Peers(own, clock, lamport, self)
         loopback = open_loopback(own, clock, lamport, self)
--- a/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from fuchsiawell.daemon.leader.authority import AssignedAuthority, Authority, Permit
-from fuchsiawell.daemon.leader.in_flight import Flight, InFlight
-from fuchsiawell.daemon.leader.leader import Leader
+from fuchsiawell.daemon.leader.authority import AssignedAuthority, Authority
+from fuchsiawell.daemon.leader.service import LeaderService
 
-__all__ = ["AssignedAuthority", "Authority", "Flight", "InFlight", "Leader", "Permit"]
+__all__ = ["AssignedAuthority", "Authority", "LeaderService"]
--- a/libs/daemon/src/fuchsiawell/daemon/leader/authority.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/authority.py
@@ -3,33 +3,32 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from fuchsiawell.core import NotRunReason
-from fuchsiawell.ownership import ShardState
+from fuchsiawell.ownership import Fence, InFlight, ShardState, Ticket
 
 if TYPE_CHECKING:
     from fuchsiawell.core import DaemonId, ShardId
     from fuchsiawell.daemon.cell_state import CellState
 
-__all__ = ["AssignedAuthority", "Authority", "Permit"]
+__all__ = ["AssignedAuthority", "Authority"]
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """Allow one request now; the fence travels with it to the backend server."""
-
-    term: int
-    epoch: int
+class Authority(ABC):
+    """Decide at the last moment before the first byte is sent, and count what is in flight."""
 
+    @abstractmethod
+    def permit(self, shard: ShardId) -> Fence | NotRunReason:
+        """Return the fence to send with at this instant, or why nothing may be sent."""
 
-class Authority(ABC):
-    """Decide at the last moment before the first byte is sent."""
+    @abstractmethod
+    def enter(self, shard: ShardId, fence: Fence) -> Ticket:
+        """Count a request in, at the instant of its fence."""
 
     @abstractmethod
-    def permit(self, shard: ShardId) -> Permit | NotRunReason:
-        """Return the fence to send with, or why nothing may be sent."""
+    def leave(self, ticket: Ticket, may_run_until_s: float | None = None) -> None:
+        """Count a request out; with a monotonic time if it may still run up to then."""
 
 
 class AssignedAuthority(Authority):
@@ -38,8 +37,9 @@
     def __init__(self, daemon: DaemonId, state: CellState) -> None:
         self._daemon = daemon
         self._state = state
+        self._in_flight = InFlight()
 
-    def permit(self, shard: ShardId) -> Permit | NotRunReason:
+    def permit(self, shard: ShardId) -> Fence | NotRunReason:
         """Allow whatever the record assigns to this daemon."""
         assignment = self._state.assignment
         record = assignment.shards_by_id.get(shard) if assignment is not None else None
@@ -50,4 +50,13 @@
         server = assignment.servers_by_id[record.owner]
         if server.leader != self._daemon:
             return NotRunReason.NO_LEADER
-        return Permit(server.term, record.epoch)
+        return Fence(server.id, server.address, server.term, record.epoch)
+
+    def enter(self, shard: ShardId, fence: Fence) -> Ticket:
+        """Count a request in."""
+        revision = self._state.assignment.revision if self._state.assignment else 0
+        return self._in_flight.enter(shard, revision)
+
+    def leave(self, ticket: Ticket, may_run_until_s: float | None = None) -> None:
+        """Count a request out."""
+        self._in_flight.leave(ticket, may_run_until_s)
--- a/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
@@ -13,8 +13,8 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.core import Outcome
-    from fuchsiawell.daemon.leader.authority import Permit
     from fuchsiawell.daemon.leader.connection import Connection, ServerAnswer
+    from fuchsiawell.ownership import Fence
     from fuchsiawell.transport import Headers, ServerExchange
 
 __all__ = ["FirstPart", "request_headers", "send_request", "stream_answer"]
@@ -38,15 +38,15 @@
 
 
 def request_headers(
-    exchange: ServerExchange, shard: str, permit: Permit, deadline_s: float
+    exchange: ServerExchange, shard: str, fence: Fence, deadline_s: float
 ) -> Headers:
     """Return the fields for the backend server: the caller's, and the fence."""
     return [
         *exchange.head.headers,
         (Header.REQUEST_ID.encode(), exchange.head.request_id.encode()),
         (Header.SHARD.encode(), shard.encode()),
-        (Header.TERM.encode(), b"%d" % permit.term),
-        (Header.EPOCH.encode(), b"%d" % permit.epoch),
+        (Header.TERM.encode(), b"%d" % fence.term),
+        (Header.EPOCH.encode(), b"%d" % fence.epoch),
         (Header.DEADLINE_MS.encode(), b"%d" % max(0, int(deadline_s * MS_PER_S))),
     ]
 
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -0,0 +1,203 @@
+"""The leader's side of requests: check ownership, wait for a slot, send, pass the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from fuchsiawell.core import Deadline, NotRun, NotRunReason, Step, Unknown
+from fuchsiawell.daemon.leader.connection import AnswerCutError, ServerAnswer
+from fuchsiawell.daemon.leader.lane import Lane
+from fuchsiawell.daemon.leader.sending import (
+    FirstPart,
+    request_headers,
+    send_request,
+    stream_answer,
+)
+from fuchsiawell.load import Entry, LoadMeter
+from fuchsiawell.transport import BodyCutError
+
+if TYPE_CHECKING:
+    from fuchsiawell.core import Outcome, ServerId
+    from fuchsiawell.daemon.cell_state import CellState
+    from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.leader.authority import Authority
+    from fuchsiawell.load import LoadReport
+    from fuchsiawell.ownership import Route, ServerRecord
+    from fuchsiawell.transport import ServerExchange
+
+__all__ = ["LeaderService"]
+
+RETRY_AFTER_MOVE_S = 0.05
+
+
+@dataclass(slots=True, eq=False)
+class _Work:
+    """Hold what is known of one request while it is served."""
+
+    exchange: ServerExchange
+    route: Route
+    server: ServerRecord
+    lane: Lane
+    deadline: Deadline
+    entry: Entry
+    sent: bool = False  # from here on only an answer or a refusal proves anything
+    whole: bool = False  # the whole answer has been passed on
+    started_s: float = 0.0
+
+
+class LeaderService:
+    """Serve the requests that entry daemons send for keys led here."""
+
+    def __init__(self, context: Context, state: CellState, authority: Authority) -> None:
+        self._context = context
+        self._state = state
+        self._authority = authority
+        self._lanes_by_server: dict[ServerId, Lane] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._meter = LoadMeter(context.clock.monotonic())
+
+    def on_request(self, exchange: ServerExchange) -> None:
+        """Start to serve a request; a cancelled exchange cancels its work."""
+        task = asyncio.create_task(self._serve(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        exchange.on_cancel = lambda: _cancel(task)
+
+    def load_report(self) -> LoadReport:
+        """Return the load of the servers that this daemon has sent work to."""
+        queues = [
+            (id, lane.gate.slots, lane.gate.queued) for id, lane in self._lanes_by_server.items()
+        ]
+        own = self._context.settings.daemon
+        return self._meter.report(own, queues, self._context.clock.monotonic())
+
+    def lane(self, server: ServerRecord) -> Lane:
+        """Return the way to a server, made anew when its address changed."""
+        lane = self._lanes_by_server.get(server.id)
+        if lane is None or lane.address != server.address:
+            if lane is not None:
+                lane.close()
+            configuration = self._state.configuration
+            service = configuration and configuration.services_by_name.get(server.service)
+            lane = Lane(server, service or None, self._context.clock)
+            self._lanes_by_server[server.id] = lane
+        return lane
+
+    async def drain(self) -> None:
+        """Wait until every request has ended."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def close(self) -> None:
+        """Cancel what is left and close connections."""
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        for lane in self._lanes_by_server.values():
+            lane.close()
+
+    async def _serve(self, exchange: ServerExchange) -> None:
+        try:
+            outcome = await self._run(exchange)
+            if outcome is not None and not exchange.replied:
+                exchange.fail(outcome)
+        except (AnswerCutError, BodyCutError) as error:
+            self._context.log.warning(
+                "answer cut",
+                step=error.step,
+                peer=error.peer,
+                detail=error.detail,
+                request=exchange.head.request_id,
+            )
+        finally:
+            # An answer without its end is cut at the entry daemon too.
+            exchange.close()
+
+    async def _run(self, exchange: ServerExchange) -> Outcome | None:
+        head = exchange.head
+        own = self._context.settings.daemon
+        assignment = self._state.assignment
+        route = assignment.route(head.service, head.key) if assignment is not None else None
+        if route is None:
+            return NotRun(NotRunReason.UNKNOWN_SERVICE, Step.ROUTE, own)
+        if route.server is None:
+            return NotRun(NotRunReason.NO_OWNER, Step.ROUTE, own, RETRY_AFTER_MOVE_S)
+        deadline = Deadline.after(self._context.clock, head.deadline_s)
+        entry = Entry(head.request_id, head.kind, head.caller, deadline.at_s)
+        work = _Work(exchange, route, route.server, self.lane(route.server), deadline, entry)
+        try:
+            async with asyncio.timeout(max(0.0, head.deadline_s)):
+                return await self._admit(work)
+        except TimeoutError:
+            if not work.sent:
+                return NotRun(NotRunReason.DEADLINE, Step.ADMIT, work.server.id)
+            return Unknown(Step.RUN, work.server.id, "deadline passed after sending")
+
+    async def _admit(self, work: _Work) -> Outcome | None:
+        shed = await work.lane.gate.enter(work.entry)
+        if shed is not None:
+            return NotRun(NotRunReason.SHED, Step.ADMIT, work.server.id, shed.retry_after_s)
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._connect(work)
+            return outcome
+        finally:
+            if isinstance(outcome, NotRun) and outcome.reason is NotRunReason.SHED:
+                work.lane.gate.refused(work.entry, outcome.retry_after_s or 0.0)
+            else:
+                work.lane.gate.leave(work.entry, measured=work.whole)
+
+    async def _connect(self, work: _Work) -> Outcome | None:
+        match await work.lane.pool.take():
+            case Err(_):
+                return NotRun(
+                    NotRunReason.UNREACHABLE, Step.CONNECT, work.server.id, RETRY_AFTER_MOVE_S
+                )
+            case Ok(connection):
+                pass
+        try:
+            # Nothing is awaited between the permit and the first byte.
+            fence = self._authority.permit(work.route.shard)
+            if isinstance(fence, NotRunReason):
+                return NotRun(fence, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
+            if fence.server != work.server.id:
+                return NotRun(NotRunReason.MOVING, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
+            ticket = self._authority.enter(work.route.shard, fence)
+            work.sent = True
+            work.started_s = self._context.clock.monotonic()
+            ended = False
+            try:
+                left_s = work.deadline.remaining_s(self._context.clock)
+                headers = request_headers(work.exchange, str(work.route.shard), fence, left_s)
+                first = FirstPart(work.exchange.take_body(), work.exchange.body_received())
+                reply = await send_request(connection, work.exchange, headers, first)
+                if not isinstance(reply, ServerAnswer):
+                    ended = isinstance(reply, NotRun)
+                    return reply
+                await stream_answer(connection, work.exchange, reply)
+                ended = work.whole = True
+                return None
+            finally:
+                self._authority.leave(ticket, None if ended else work.deadline.at_s)
+                self._measure(work)
+        finally:
+            work.lane.pool.give_back(connection)
+
+    def _measure(self, work: _Work) -> None:
+        now_s = self._context.clock.monotonic()
+        self._meter.record(
+            work.server.id,
+            work.route.shard,
+            work.exchange.head.key,
+            now_s - work.started_s,
+            now_s,
+        )
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
