Find and refuse requests that crash servers

Cause: one request that crashes each server that runs it, resent for ever, would take down server after server. Change: suspects.py (attribution by what was in flight or may still run, conviction of a suspect that ran alone, none when servers were lost together for a common cause), isolation.py (a suspect waits for an empty server, everything else for the suspect), convictions.py (shared by compare-and-swap, expiry, operator's release). The key is part of what is recognised, since small requests for other keys may have equal content. Conclusion: API Isolation.enter/answered/refused/broke/server_alive/server_lost.

--- a/libs/once/src/fuchsiawell/once/__init__.py
+++ b/libs/once/src/fuchsiawell/once/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fuchsiawell.once.convictions import Convictions, convictions_key
+from fuchsiawell.once.isolation import Convicted, Isolation
 from fuchsiawell.once.journal import (
     Journal,
     JournalLimits,
@@ -48,6 +50,7 @@
     outcome_unseen,
 )
 from fuchsiawell.once.runner import Exchanged, OnceResult, OnceRunner
+from fuchsiawell.once.suspects import Flight, LossReport, Suspects, suspect_digest
 
 __all__ = [
     "REROUTE_REASONS",
@@ -56,13 +59,17 @@
     "Backoff",
     "Conflict",
     "ConnectionBroke",
+    "Convicted",
+    "Convictions",
     "DeadlinePassed",
     "Decision",
     "End",
     "Exchanged",
+    "Flight",
     "FoundIntent",
     "HandOver",
     "InProgress",
+    "Isolation",
     "Journal",
     "JournalLimits",
     "JournalState",
@@ -71,6 +78,7 @@
     "Ledger",
     "LedgerError",
     "LedgerLimits",
+    "LossReport",
     "Mint",
     "NeverSent",
     "NotOpen",
@@ -88,13 +96,16 @@
     "Scope",
     "Stopped",
     "StoppedBy",
+    "Suspects",
     "UnknownBefore",
     "WholeAnswer",
     "content_digest",
+    "convictions_key",
     "decide_retry",
     "journal_key",
     "journal_prefix",
     "outcome_of",
     "outcome_unseen",
     "place_of",
+    "suspect_digest",
 ]
