--- a/libs/standins/src/fuchsiawell/standins/backend/slots.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/slots.py
@@ -28,30 +28,29 @@
         """Tell whether one more could neither run nor wait."""
         return self.running >= self.count and self.queued >= self._queue_limit
 
-    async def acquire(self) -> None:
-        """Take a slot; a caller that is cancelled while it waits leaves the queue."""
-        if self.running < self.count:
-            self._start()
-            return
+    def request(self) -> asyncio.Future[None]:
+        """Return a turn that is done once it has a slot; give it up by `withdraw`."""
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
-        try:
-            await turn
-        except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
-                self.release()
-            else:
-                self._waiting.remove(turn)
-            raise
+        if self.running < self.count:
+            self._start(turn)
+        else:
+            self._waiting.append(turn)
+        return turn
+
+    def withdraw(self, turn: asyncio.Future[None]) -> None:
+        """Leave the queue, or give back a slot that came too late to be used."""
+        if turn in self._waiting:
+            self._waiting.remove(turn)
+        elif not turn.cancelled():
+            self.release()
 
     def release(self) -> None:
         """Give a slot back; the one that waits longest takes it at once."""
         self.running -= 1
-        if self._waiting and self.running < self.count:
-            turn = self._waiting.popleft()
-            self._start()
-            turn.set_result(None)
+        if self._waiting:
+            self._start(self._waiting.popleft())
 
-    def _start(self) -> None:
+    def _start(self, turn: asyncio.Future[None]) -> None:
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
+        turn.set_result(None)
--- a/libs/standins/src/fuchsiawell/standins/backend/worker.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/worker.py
@@ -156,8 +156,14 @@
         return None
 
     async def _queue(self, work: _Work, receive: Receive, send: Send) -> None:
-        turn = asyncio.ensure_future(self._slots.acquire())
-        if not await self._first(turn, work, self._remaining_s(work)):
+        turn = self._slots.request()
+        started = False
+        try:
+            started = await self._first(turn, work, self._remaining_s(work))
+        finally:
+            if not started:
+                self._slots.withdraw(turn)
+        if not started:
             if not work.link.lost.is_set():
                 await _refuse(send, _cause_of_leaving(work))
             return
@@ -209,7 +215,10 @@
         asked_s = work.request.service_time_s
         service_s = self._behaviour().service_time_s if asked_s is None else asked_s
         timer = asyncio.ensure_future(self._sleep(service_s * self._cold_factor()))
-        return await self._first(timer, work, None)
+        try:
+            return await self._first(timer, work, None)
+        finally:
+            timer.cancel()
 
     def _cold_factor(self) -> float:
         """Return how much slower than usual work is, falling to 1 over the cold start."""
@@ -271,13 +280,12 @@
         self, goal: asyncio.Future[None], work: _Work, timeout_s: float | None
     ) -> bool:
         """Tell whether `goal` came before cancellation, loss of the connection and timeout."""
+        if goal.done():
+            return True
         stops: list[Awaitable[object]] = [work.cancelled.wait(), work.link.lost.wait()]
         if timeout_s is not None:
             stops.append(self._sleep(max(timeout_s, 0.0)))
-        try:
-            return await wait_for_first(goal, *stops)
-        finally:
-            goal.cancel()  # without effect on a goal that was reached
+        return await wait_for_first(goal, *stops)
 
 
 def _cause_of_leaving(work: _Work) -> RefusalCause:
--- a/libs/standins/src/fuchsiawell/standins/serving.py
+++ b/libs/standins/src/fuchsiawell/standins/serving.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -14,7 +14,7 @@
 
     from starlette.types import ASGIApp, Scope
 
-__all__ = ["LOOPBACK", "Link", "LinkedProtocol", "link_of", "running", "server_of"]
+__all__ = ["LINK", "LOOPBACK", "Link", "LinkedProtocol", "link_of", "running", "server_of"]
 
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 1
@@ -23,10 +23,20 @@
 LINK = "fuchsiawell.link"
 
 
+class _Closable(Protocol):
+    """Be a transport as far as a link needs one."""
+
+    def abort(self) -> None:
+        """Reset the connection."""
+
+    def close(self) -> None:
+        """Send what was written and close."""
+
+
 class Link:
     """Let an application see and cut the connection of its request."""
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(self, transport: _Closable) -> None:
         self._transport = transport
         self.lost = asyncio.Event()  # set once the other end is gone
 
