Pass repeatable requests around a silent connection to a server

Cause: an open connection that goes silent held its request until the deadline. Change: after five times the mean time to an answer (at least 0.6 s) a copy goes out on a new connection, within a budget of 5 in 100 requests; the first answer wins, the other connection is closed, and older connections of the pool are distrusted. Ruled out: cancelling and starting again, as a slow server would never get to the end; doing the same for never-repeat work, as a silent connection does not prove that nothing ran. Measured: a swallowed repeatable request is answered by the second copy; a swallowed never-repeat request is seen once by the server and is unknown to its caller (tests). Never-repeat work holds its slot until its deadline, which is left for later.

--- a/libs/daemon/src/fuchsiawell/daemon/leader/connection.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/connection.py
@@ -164,6 +164,26 @@
             await self._wait()
         return self._answer
 
+    async def answer_within(self, seconds: float) -> ServerAnswer | None:
+        """Wait for the head of the answer for so long; `None` if nothing came by then."""
+        late = False
+
+        def give_up() -> None:
+            nonlocal late
+            late = True
+            self._wake()
+
+        # A bare timer: `asyncio.timeout` costs several times as much on each request.
+        timer = self._loop.call_later(seconds, give_up)
+        try:
+            while self._answer is None and not late:
+                if self.closed:
+                    raise AnswerCutError("await answer", self.peer, self._detail)
+                await self._wait()
+        finally:
+            timer.cancel()
+        return self._answer
+
     async def next_chunk(self) -> bytes:
         """Return the next piece of the answer's body, `b""` after the last one."""
         while not self._chunks:
--- a/libs/daemon/src/fuchsiawell/daemon/leader/pool.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/pool.py
@@ -58,9 +58,28 @@
         connection = self.idle()
         if connection is not None:
             return Ok(connection)
+        return await self.connect()
+
+    async def connect(self) -> Result[Connection, ConnectError]:
+        """Open a new connection for one request."""
         if self._open_count >= self._limit:
             return Err(ConnectError(f"{self._limit} connections are in use"))
-        return await self._connect()
+        host, _, port = self.address.rpartition(":")
+        self._open_count += 1
+        generation = self._generation
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: Connection(self.address), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            self._open_count -= 1
+            return Err(ConnectError(str(error) or "timed out"))
+        except BaseException:
+            self._open_count -= 1
+            raise
+        self._generation_by_connection[connection] = generation
+        return Ok(connection)
 
     def give_back(self, connection: Connection) -> None:
         """Take back a connection after its request; it is closed unless fit for another."""
@@ -82,24 +101,6 @@
             self._discard(connection, "stopping")
         self._idle.clear()
 
-    async def _connect(self) -> Result[Connection, ConnectError]:
-        host, _, port = self.address.rpartition(":")
-        self._open_count += 1
-        generation = self._generation
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: Connection(self.address), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
-            self._open_count -= 1
-            return Err(ConnectError(str(error) or "timed out"))
-        except BaseException:
-            self._open_count -= 1
-            raise
-        self._generation_by_connection[connection] = generation
-        return Ok(connection)
-
     def _trusted(self, connection: Connection) -> bool:
         return self._generation_by_connection.get(connection) == self._generation
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
@@ -17,7 +17,14 @@
     from fuchsiawell.ownership import Fence
     from fuchsiawell.transport import Headers, ServerExchange
 
-__all__ = ["FirstPart", "request_headers", "send_request", "stream_answer"]
+__all__ = [
+    "FirstPart",
+    "begin_request",
+    "judge",
+    "receive_answer",
+    "request_headers",
+    "stream_answer",
+]
 
 REASON_BY_CAUSE = {
     RefusalCause.FENCE.value: NotRunReason.FENCED,
@@ -51,21 +58,25 @@
     ]
 
 
-async def send_request(
+def begin_request(
     connection: Connection, exchange: ServerExchange, headers: Headers, first: FirstPart
-) -> ServerAnswer | Outcome:
-    """Send a request and wait for the head of its answer, or say what its failure proves."""
+) -> asyncio.Task[None] | None:
+    """Send the head and the first part; return the task that sends the rest, if there is any."""
     head = exchange.head
     connection.begin(head.method, head.target, headers, first.chunk, first.end)
-    upload = None if first.end else asyncio.create_task(_send_body(connection, exchange))
+    return None if first.end else asyncio.create_task(_send_body(connection, exchange))
+
+
+async def receive_answer(connection: Connection) -> ServerAnswer | Outcome:
+    """Wait for the head of the answer, or say what its absence proves."""
     try:
-        answer = await connection.answer()
+        return await judge(connection, await connection.answer())
     except AnswerCutError as error:
         return Unknown(Step.RUN, connection.peer, error.detail)
-    finally:
-        if upload is not None and not upload.done():
-            # Whatever the server says before it has the whole body, the rest is not wanted.
-            upload.cancel()
+
+
+async def judge(connection: Connection, answer: ServerAnswer) -> ServerAnswer | Outcome:
+    """Return the answer, or the proof of not run that it carries."""
     return await _refusal(connection, answer) or answer
 
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -9,12 +9,12 @@
 from result import Err, Ok
 
 from fuchsiawell.core import Deadline, NotRun, NotRunReason, Step, Unknown
-from fuchsiawell.daemon.leader.connection import AnswerCutError, ServerAnswer
+from fuchsiawell.daemon.leader.attempt import Attempt, Received
+from fuchsiawell.daemon.leader.connection import AnswerCutError
 from fuchsiawell.daemon.leader.lane import Lane
 from fuchsiawell.daemon.leader.sending import (
     FirstPart,
     request_headers,
-    send_request,
     stream_answer,
 )
 from fuchsiawell.load import Entry, LoadMeter
@@ -25,8 +25,9 @@
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
+    from fuchsiawell.daemon.leader.connection import Connection
     from fuchsiawell.load import LoadReport
-    from fuchsiawell.ownership import Route, ServerRecord
+    from fuchsiawell.ownership import Fence, Route, ServerRecord
     from fuchsiawell.transport import ServerExchange
 
 __all__ = ["LeaderService"]
@@ -44,6 +45,7 @@
     lane: Lane
     deadline: Deadline
     entry: Entry
+    repeatable: bool
     sent: bool = False  # from here on only an answer or a refusal proves anything
     whole: bool = False  # the whole answer has been passed on
     started_s: float = 0.0
@@ -129,7 +131,9 @@
             return NotRun(NotRunReason.NO_OWNER, Step.ROUTE, own, RETRY_AFTER_MOVE_S)
         deadline = Deadline.after(self._context.clock, head.deadline_s)
         entry = Entry(head.request_id, head.kind, head.caller, deadline.at_s)
-        work = _Work(exchange, route, route.server, self.lane(route.server), deadline, entry)
+        lane = self.lane(route.server)
+        repeatable = self._repeatable(exchange)
+        work = _Work(exchange, route, route.server, lane, deadline, entry, repeatable)
         try:
             async with asyncio.timeout(max(0.0, head.deadline_s)):
                 return await self._admit(work)
@@ -167,27 +171,45 @@
                 return NotRun(fence, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
             if fence.server != work.server.id:
                 return NotRun(NotRunReason.MOVING, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
-            ticket = self._authority.enter(work.route.shard, fence)
-            work.sent = True
-            work.started_s = self._context.clock.monotonic()
-            ended = False
-            try:
-                left_s = work.deadline.remaining_s(self._context.clock)
-                headers = request_headers(work.exchange, str(work.route.shard), fence, left_s)
-                first = FirstPart(work.exchange.take_body(), work.exchange.body_received())
-                reply = await send_request(connection, work.exchange, headers, first)
-                if not isinstance(reply, ServerAnswer):
-                    ended = isinstance(reply, NotRun)
-                    return reply
-                await stream_answer(connection, work.exchange, reply)
-                ended = work.whole = True
-                return None
-            finally:
-                self._authority.leave(ticket, None if ended else work.deadline.at_s)
-                self._measure(work)
+            return await self._exchange(work, connection, fence)
         finally:
             work.lane.pool.give_back(connection)
 
+    async def _exchange(self, work: _Work, connection: Connection, fence: Fence) -> Outcome | None:
+        ticket = self._authority.enter(work.route.shard, fence)
+        work.sent = True
+        work.started_s = self._context.clock.monotonic()
+        proved = False
+        try:
+            left_s = work.deadline.remaining_s(self._context.clock)
+            headers = request_headers(work.exchange, str(work.route.shard), fence, left_s)
+            first = FirstPart(work.exchange.take_body(), work.exchange.body_received())
+            attempt = Attempt(work.lane, work.exchange, first)
+            reply = await attempt.run(connection, headers, repeatable=work.repeatable)
+            if not isinstance(reply, Received):
+                proved = isinstance(reply, NotRun)
+                return reply
+            await self._pass_on(work, connection, reply)
+            proved = work.whole = True
+            return None
+        finally:
+            self._authority.leave(ticket, None if proved else work.deadline.at_s)
+            self._measure(work)
+
+    async def _pass_on(self, work: _Work, first: Connection, reply: Received) -> None:
+        waited_s = self._context.clock.monotonic() - work.started_s
+        work.lane.record_answer(work.exchange.head.kind, waited_s)
+        try:
+            await stream_answer(reply.connection, work.exchange, reply.answer)
+        finally:
+            if reply.connection is not first:
+                work.lane.pool.give_back(reply.connection)
+
+    def _repeatable(self, exchange: ServerExchange) -> bool:
+        configuration = self._state.configuration
+        kind = configuration and configuration.kind(exchange.head.service, exchange.head.kind)
+        return bool(kind and kind.repeatable)
+
     def _measure(self, work: _Work) -> None:
         now_s = self._context.clock.monotonic()
         self._meter.record(
--- a/libs/daemon/tests/cell.py
+++ b/libs/daemon/tests/cell.py
@@ -84,6 +84,7 @@
     cut_after_bytes: int | None = None
     delay_s: float = 0.0
     refuse: bytes | None = None
+    swallow: int = 0  # requests that get no answer, as on a connection that went silent
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         digest, size, more = hashlib.sha256(), 0, True
@@ -97,6 +98,11 @@
             more = message["more_body"]
         headers = dict(scope["headers"])
         self.requests.append({"path": scope["path"], "headers": headers, "size": size})
+        if self.swallow > 0:
+            self.swallow -= 1
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            return
         await asyncio.sleep(self.delay_s)
         await self._answer(scope, send, f"{self.id} {size} {digest.hexdigest()}".encode())
 
--- a/libs/daemon/tests/test_path.py
+++ b/libs/daemon/tests/test_path.py
@@ -119,3 +119,22 @@
     answer = await ask(cell.settings[1].caller_address, "/penwatch/status/pen-1", headers=headers)
     assert answer.status == 504
     assert answer.headers["fuchsiawell-outcome"] == "unknown"
+
+
+async def test_a_repeatable_request_passes_a_silent_connection(cell: Cell) -> None:
+    server = cell.server_of("pen-1")
+    server.swallow = 1
+    answer = await ask(cell.settings[1].caller_address, "/penwatch/status/pen-1")
+    assert answer.status == 200
+    assert len(server.requests) == 2
+
+
+async def test_a_never_repeat_request_on_a_silent_connection_is_sent_once(cell: Cell) -> None:
+    server = cell.server_of("pen-1")
+    server.swallow = 1
+    headers = {"idempotency-key": "drop-1", "fuchsiawell-deadline-ms": "1200"}
+    answer = await ask(
+        cell.settings[1].caller_address, "/penwatch/feed/pen-1", "POST", b"5 kg", headers
+    )
+    assert answer.headers["fuchsiawell-outcome"] == "unknown"
+    assert len(server.requests) == 1
