Let the backend stand-in stop work at its deadline

The configuration says of servers that check deadlines that they start or go on with nothing past one; a successor's wait rests on that. The stand-in checked only before the start.

--- a/libs/standins/src/fuchsiawell/standins/__main__.py
+++ b/libs/standins/src/fuchsiawell/standins/__main__.py
@@ -54,6 +54,7 @@
     service_ms: float = 5.0,
     answer_bytes: int = 200,
     checks_fence: bool = True,
+    checks_deadline: bool = True,
     cold_start_s: float = 0.0,
     cold_factor: float = 3.0,
     executions_file: Path | None = None,
@@ -68,6 +69,7 @@
     :param service_ms: time that a piece of work takes
     :param answer_bytes: least size of an answer
     :param checks_fence: refuse work without a grant
+    :param checks_deadline: start or go on with nothing past its deadline
     :param cold_start_s: seconds until work takes its usual time
     :param cold_factor: how much longer work takes at the very start
     :param executions_file: file to add one JSON line to for each change of an execution
@@ -79,6 +81,7 @@
         queue_limit=queue_limit,
         connection_limit=connection_limit,
         checks_fence=checks_fence,
+        checks_deadline=checks_deadline,
         cold_start_s=cold_start_s,
         cold_factor=cold_factor,
     )
--- a/libs/standins/src/fuchsiawell/standins/backend/executions.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/executions.py
@@ -22,6 +22,7 @@
     RUNNING = "running"  # not ended yet, or the server was lost
     DONE = "done"
     CANCELLED = "cancelled"
+    EXPIRED = "expired"  # stopped at its deadline
     CRASHED = "crashed"
 
 
--- a/libs/standins/src/fuchsiawell/standins/backend/settings.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/settings.py
@@ -46,5 +46,6 @@
     connection_limit: int = CONNECTION_LIMIT
     connect_cost_s: float = CONNECT_COST_S
     checks_fence: bool = True
+    checks_deadline: bool = True  # start or go on with nothing past its deadline
     cold_start_s: float = 0.0  # time over which work falls from `cold_factor` to its usual time
     cold_factor: float = 3.0
--- a/libs/standins/src/fuchsiawell/standins/backend/worker.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/worker.py
@@ -105,7 +105,7 @@
     async def run(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Take one request and answer it."""
         request = parse_work(scope)
-        budget_s = request.deadline_s
+        budget_s = request.deadline_s if self._settings.checks_deadline else None
         deadline = None if budget_s is None else Deadline.after(self._clock, budget_s)
         earlier = self._work_by_request.get(request.request)
         work = _Work(request, link_of(scope), deadline, asyncio.Event(), earlier)
@@ -199,26 +199,30 @@
             return
         shard = execution.shard or ""
         self._running_by_shard[shard] = self._running_by_shard.get(shard, 0) + 1
-        done = False
+        ending = Ending.CANCELLED
         try:
-            done = await self._work(work)
+            ending = await self._work(work)
         finally:
-            self._log.end(execution, Ending.DONE if done else Ending.CANCELLED)
+            self._log.end(execution, ending)
             await self._finish(work, shard)
-        if done:
+        if ending is Ending.DONE:
             await self._answer(work, body, execution, send)
         else:
             await work.link.abort()
 
-    async def _work(self, work: _Work) -> bool:
-        """Take the time that the work needs; tell whether it was done whole."""
+    async def _work(self, work: _Work) -> Ending:
+        """Take the time that the work needs, or stop before; tell how it ended."""
         asked_s = work.request.service_time_s
         service_s = self._behaviour().service_time_s if asked_s is None else asked_s
         timer = asyncio.ensure_future(self._sleep(service_s * self._cold_factor()))
         try:
-            return await self._first(timer, work, None)
+            done = await self._first(timer, work, self._remaining_s(work))
         finally:
             timer.cancel()
+        if done:
+            return Ending.DONE
+        stopped = work.cancelled.is_set() or work.link.lost.is_set()
+        return Ending.CANCELLED if stopped else Ending.EXPIRED
 
     def _cold_factor(self) -> float:
         """Return how much slower than usual work is, falling to 1 over the cold start."""
--- a/libs/standins/tests/backend/test_worker.py
+++ b/libs/standins/tests/backend/test_worker.py
@@ -99,6 +99,17 @@
     assert bench.ran() == [("r1", Ending.DONE)]
 
 
+async def test_work_stops_at_its_deadline_where_the_server_checks_it() -> None:
+    checking, careless = Bench(), Bench(checks_deadline=False)
+    headers = {"fuchsiawell-deadline-ms": "500"}
+    calls = [bench.call("r1", headers=headers) for bench in (checking, careless)]
+    for bench in (checking, careless):
+        await bench.time.run(2.0)
+    assert [call.status for call in calls] == [None, 200]
+    assert checking.ran() == [("r1", Ending.EXPIRED)]
+    assert checking.backend.log.all()[0].ended_at_s == 0.5
+
+
 async def test_the_grant_is_checked_when_the_work_starts() -> None:
     bench = Bench()
     bench.backend.grants.install(3, 0.9, {"penwatch/0": 7})
