--- a/libs/platform/src/fuchsiawell/platform/__init__.py
+++ b/libs/platform/src/fuchsiawell/platform/__init__.py
@@ -8,6 +8,7 @@
 from fuchsiawell.platform.hosts import ENTRY_ROLE, Host, HostList, HostState
 from fuchsiawell.platform.http_hosts import HttpHostList
 from fuchsiawell.platform.http_store import HttpStore
+from fuchsiawell.platform.open_store import OpenedStore, open_store
 from fuchsiawell.platform.resolve import resolve_put
 from fuchsiawell.platform.retrying_store import RetryingStore
 from fuchsiawell.platform.store import (
@@ -46,6 +47,7 @@
     "HttpStore",
     "LeaseId",
     "LeaseLapsed",
+    "OpenedStore",
     "Record",
     "RetryBudget",
     "RetryingStore",
@@ -56,6 +58,7 @@
     "TokenBucket",
     "Unavailable",
     "WriteError",
+    "open_store",
     "resolve_put",
     "watch_key",
 ]
--- a/libs/standins/src/fuchsiawell/standins/memory_store.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_store.py
@@ -24,6 +24,7 @@
     Unavailable,
     WriteError,
 )
+from fuchsiawell.standins.call_rates import CallRates
 from fuchsiawell.standins.faults import (
     DropWatch,
     FaultPlan,
@@ -78,6 +79,7 @@
         self._watches_by_key: dict[str, set[asyncio.Event]] = {}
         self.plan: FaultPlan = plan or NoFaults()
         self.counts = CallCounts()
+        self.rates = CallRates(clock)
 
     async def get(self, key: str) -> Result[Record | None, StoreError]:
         """Read one key."""
@@ -137,6 +139,7 @@
         self, kind: CallKind, key: str, run: Callable[[], Awaitable[Result[T, E]]]
     ) -> Result[T, E | StoreError]:
         self.counts.add(kind)
+        self.rates.add(kind)
         fault = self.plan.decide(kind, key)
         match fault:
             case Refuse():
--- a/libs/standins/src/fuchsiawell/standins/store_server.py
+++ b/libs/standins/src/fuchsiawell/standins/store_server.py
@@ -77,7 +77,12 @@
     async def counts(request: Request) -> Response:
         by_kind = {kind: store.counts.by_kind[kind] for kind in CallKind}
         return JSONResponse(
-            {"by_kind": by_kind, "reads": store.counts.reads, "writes": store.counts.writes}
+            {
+                "by_kind": by_kind,
+                "reads": store.counts.reads,
+                "writes": store.counts.writes,
+                "per_second": store.rates.last_seconds(),
+            }
         )
 
     return Starlette(
--- a/libs/standins/tests/test_store_server.py
+++ b/libs/standins/tests/test_store_server.py
@@ -44,6 +44,7 @@
         await store.put("a", b"", ABSENT)
         counts = await (await admin.get(f"http://{address}/_admin/counts")).json()
         assert (counts["reads"], counts["writes"], counts["by_kind"]["get"]) == (1, 1, 1)
+        assert counts["per_second"] == []
         for path, body in (("v1/get", b"\xc1"), ("v1/get", b"\x01"), ("v1/swap", b"\x80")):
             answer = await admin.post(f"http://{address}/{path}", data=body)
             assert answer.status_code == HTTPStatus.BAD_REQUEST
