Add the serve command

Cause: a daemon could be started from tests only. Change: `fuchsiawell serve SETTINGS` checks the settings and runs the daemon.

--- a/libs/cli/src/fuchsiawell/cli/run.py
+++ b/libs/cli/src/fuchsiawell/cli/run.py
@@ -10,6 +10,7 @@
 from fuchsiawell.cli.accept import accept
 from fuchsiawell.cli.configure import configure, questionnaire
 from fuchsiawell.cli.exits import Exit, fail
+from fuchsiawell.cli.serve import serve
 from fuchsiawell.cli.timeline import timeline
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     "questionnaire": questionnaire,
     "configure": configure,
     "accept": accept,
+    "serve": serve,
     "timeline": timeline,
 }
 
