Suspect all idle connections to the platform after a silent one

A connection that something between the two ends lost track of shows only as a timeout, and the idle ones beside it are as likely lost. The next call opens a new connection: without the change the test's second call waits out its own timeout as well.

--- a/libs/platform/src/fuchsiawell/platform/http_client.py
+++ b/libs/platform/src/fuchsiawell/platform/http_client.py
@@ -10,7 +10,7 @@
 import msgpack
 from aiosonic import HTTPClient, TCPConnector
 from aiosonic.connection import Connection
-from aiosonic.exceptions import AiosonicError
+from aiosonic.exceptions import AiosonicError, BaseTimeout
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 from result import Err, Ok, Result
@@ -99,6 +99,8 @@
         try:
             answer = await self._exchange(step, msgpack.packb(fields), self._timeout_s + wait_s)
         except (AiosonicError, OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
+            if isinstance(error, BaseTimeout):
+                await self.close()  # what made one connection silent may have struck the idle ones
             detail = f"{type(error).__name__}: {error}"
             kind = AnswerLost if attempt.sent else Unavailable
             return Err(kind(step, self._address, detail))
--- a/libs/platform/src/fuchsiawell/platform/watcher.py
+++ b/libs/platform/src/fuchsiawell/platform/watcher.py
@@ -18,7 +18,7 @@
 
 __all__ = ["watch_key"]
 
-WATCH_S = 30.0
+WATCH_S = 3.0  # a connection that went silent is found after this and the client's timeout
 SHORTEST_WATCH_S = 0.05  # an empty answer that comes sooner is followed by a pause
 
 
--- a/libs/platform/tests/test_http_store.py
+++ b/libs/platform/tests/test_http_store.py
@@ -31,6 +31,7 @@
 )
 from fuchsiawell.standins.memory_store import MemoryStore
 from fuchsiawell.standins.serving import running
+from fuchsiawell.standins.silent_proxy import SilentProxy
 from fuchsiawell.standins.store_server import store_app
 
 if TYPE_CHECKING:
@@ -186,3 +187,18 @@
         late.set()
         for _ in range(3):
             assert (await store.get("b")).unwrap().value == b"b"  # type: ignore[union-attr]
+
+
+async def test_after_a_silent_connection_no_idle_one_is_trusted() -> None:
+    memory = MemoryStore(ManualClock())
+    async with running(store_app(memory)) as target, SilentProxy(target) as proxy:
+        store = HttpStore(proxy.address, 20.0)
+        await asyncio.gather(*(store.get("a") for _ in range(4)))
+        assert proxy.open == 4
+        proxy.silence_open()
+        store._client._timeout_s = 0.1
+        assert isinstance((await store.get("a")).unwrap_err(), AnswerLost)
+        store._client._timeout_s = 20.0
+        assert await store.get("a") == Ok(None)
+        assert proxy.taken == 5
+        await store.close()
