Run never-repeat requests through the ledger in the leader

Cause: the leader sent every copy of a never-repeat request to its server. Outcomes of exchanges come from fuchsiawell.once.rules.

--- a/libs/core/src/fuchsiawell/core/headers.py
+++ b/libs/core/src/fuchsiawell/core/headers.py
@@ -13,6 +13,7 @@
 
     IDEMPOTENCY_KEY = "idempotency-key"  # caller to daemon: the request's id
     DEADLINE_MS = "fuchsiawell-deadline-ms"  # milliseconds left, shrinking from hop to hop
+    ATTEMPT = "fuchsiawell-attempt"  # caller to daemon: 1 states that the id was never sent before
     OUTCOME = "fuchsiawell-outcome"  # daemon to caller: answered, not-run or unknown
     REQUEST_ID = "fuchsiawell-request-id"  # given by the entry daemon, in every answer and log
     ISSUED_ID = "fuchsiawell-issued-id"  # daemon to caller: an id to use for a later request
--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -7,7 +7,7 @@
 
 from fuchsiawell.daemon.cell_state import CellState
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
-from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService
+from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService, OnceService
 from fuchsiawell.daemon.operators import OperatorServer, StatusSource
 from fuchsiawell.daemon.records import RecordReader
 from fuchsiawell.transport import LinkHooks, PeerListener, Peers, open_loopback
@@ -31,7 +31,9 @@
         self.state = CellState()
         self._store = store
         self._reader = RecordReader(context, self.state, self._store)
-        self._leader = LeaderService(context, self.state, AssignedAuthority(own, self.state))
+        authority = AssignedAuthority(own, self.state)
+        self._once = OnceService(context, self.state, store, authority)
+        self._leader = LeaderService(context, self.state, authority, self._once)
         self._listener = PeerListener(own, clock, lamport, self)
         self._peers = Peers(own, clock, lamport, self)
         loopback = open_loopback(own, clock, lamport, self)
@@ -48,6 +50,7 @@
         await self._listener.start(settings.peer_address.host, settings.peer_address.port)
         self._peers.start()
         self._reader.start()
+        self._once.start()
         await self._callers.start()
         self._context.log.event("started", daemon=settings.daemon, zone=settings.zone)
 
@@ -66,6 +69,7 @@
         self._context.log.event("stopping")
         await self._callers.stop()
         await self._leader.drain()
+        await self._once.stop()
         await self._reader.stop()
         await self._leader.close()
         await self._peers.close()
--- a/libs/daemon/src/fuchsiawell/daemon/entry/call.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/call.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from fuchsiawell.config import IdStyle
 from fuchsiawell.core import (
     Deadline,
     FuchsiawellError,
@@ -21,6 +22,7 @@
 from fuchsiawell.daemon.entry.refusals import outcome_page
 from fuchsiawell.daemon.entry.target import Target, parse_target
 from fuchsiawell.daemon.http_fields import field, passed_on
+from fuchsiawell.once import Attempt, outcome_told
 from fuchsiawell.transport import BodyCutError, RequestHead
 
 if TYPE_CHECKING:
@@ -101,7 +103,7 @@
         id = field(headers, Header.IDEMPOTENCY_KEY.encode())
         if id is not None and not 0 < len(id) <= MAX_ID_BYTES:
             return NotRun(NotRunReason.MALFORMED, Step.ACCEPT, own)
-        if id is None and not kind.repeatable:
+        if id is None and not kind.repeatable and kind.id_style is not IdStyle.MINTED:
             return NotRun(NotRunReason.ID_REQUIRED, Step.ACCEPT, own)
         idle_s = self._context.settings.limits.body_idle_timeout_s
         body = CallerBody(self._receive, headers, kind.max_body_bytes, idle_s, own)
@@ -110,7 +112,8 @@
             return refused
         head = self._head(target, headers, budget_s, id)
         deadline = Deadline.after(self._context.clock, budget_s)
-        return await self._forwarder.forward(head, body, deadline, kind.repeatable)
+        reply = await self._forwarder.forward(head, body, deadline, kind.repeatable)
+        return reply if isinstance(reply, Reply) else outcome_told(reply, _attempt(head, kind))
 
     def _kind(self, target: Target) -> Kind | NotRun:
         own = self._context.settings.daemon
@@ -147,15 +150,14 @@
             budget_s,
             id,
             client[0] if client else "",
+            stated_first=field(self._scope["headers"], Header.ATTEMPT.encode()) == "1",
         )
 
     async def _pass_on(self, reply: Reply) -> None:
         exchange = reply.exchange
-        headers = [
-            *reply.head.headers,
-            (Header.OUTCOME.encode(), b"answered"),
-            (Header.REQUEST_ID.encode(), self._request_id.encode()),
-        ]
+        headers = [*reply.head.headers, (Header.REQUEST_ID.encode(), self._request_id.encode())]
+        if field(headers, Header.OUTCOME.encode()) is None:
+            headers.append((Header.OUTCOME.encode(), b"answered"))
         start = {"type": "http.response.start", "status": reply.head.status, "headers": headers}
         try:
             await self._send(start)
@@ -185,3 +187,9 @@
             {"type": "http.response.start", "status": page.status, "headers": page.headers}
         )
         await self._send_body(page.body, more=False)
+
+
+def _attempt(head: RequestHead, kind: Kind) -> Attempt:
+    if kind.repeatable:
+        return Attempt.REPEATABLE
+    return Attempt.FIRST if head.stated_first else Attempt.UNMARKED
--- a/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fuchsiawell.daemon.leader.authority import AssignedAuthority, Authority
+from fuchsiawell.daemon.leader.once_service import OnceService
 from fuchsiawell.daemon.leader.service import LeaderService
 
-__all__ = ["AssignedAuthority", "Authority", "LeaderService"]
+__all__ = ["AssignedAuthority", "Authority", "LeaderService", "OnceService"]
--- a/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fuchsiawell.core import Header, NotRun, NotRunReason, RefusalCause, Step, Unknown
+from fuchsiawell.core import Header, RefusalCause
 from fuchsiawell.daemon.http_fields import field, passed_on
 from fuchsiawell.daemon.leader.connection import AnswerCutError
+from fuchsiawell.once import ConnectionBroke, Refused, outcome_of
 from fuchsiawell.transport import AnswerHead, BodyCutError
 
 if TYPE_CHECKING:
@@ -26,12 +27,6 @@
     "stream_answer",
 ]
 
-REASON_BY_CAUSE = {
-    RefusalCause.FENCE.value: NotRunReason.FENCED,
-    RefusalCause.DEADLINE.value: NotRunReason.DEADLINE,
-    RefusalCause.SHED.value: NotRunReason.SHED,
-    RefusalCause.DRAIN.value: NotRunReason.REFUSED_BY_SERVER,
-}
 RETRY_AFTER_REFUSAL_S = 0.1
 MS_PER_S = 1000
 
@@ -72,7 +67,7 @@
     try:
         return await judge(connection, await connection.answer())
     except AnswerCutError as error:
-        return Unknown(Step.RUN, connection.peer, error.detail)
+        return outcome_of(ConnectionBroke(error.detail), connection.peer)
 
 
 async def judge(connection: Connection, answer: ServerAnswer) -> ServerAnswer | Outcome:
@@ -81,12 +76,18 @@
 
 
 async def stream_answer(
-    connection: Connection, exchange: ServerExchange, answer: ServerAnswer
+    connection: Connection, exchange: ServerExchange, answer: ServerAnswer, first: bytes = b""
 ) -> None:
-    """Pass the answer on as it comes; raise `AnswerCutError` or `BodyCutError` where it is cut."""
+    """Pass the answer on as it comes; raise `AnswerCutError` or `BodyCutError` where it is cut.
+
+    `first` was taken from the connection before.
+    """
     head = AnswerHead(answer.status, passed_on(answer.headers))
-    chunk = connection.take()
-    exchange.answer(head, chunk, end=connection.complete)
+    if first:
+        exchange.answer(head, b"", end=False)
+        await exchange.send(first, end=connection.complete)
+    else:
+        exchange.answer(head, connection.take(), end=connection.complete)
     while not exchange.sent_end:
         chunk = await connection.next_chunk()
         await exchange.send(chunk, end=connection.complete)
@@ -105,12 +106,11 @@
 
 async def _refusal(connection: Connection, answer: ServerAnswer) -> Outcome | None:
     cause = field(answer.headers, Header.REFUSED.encode())
-    reason = REASON_BY_CAUSE.get(cause or "")
-    if reason is None:
+    if cause is None or cause not in list(RefusalCause):
         return None
     try:
         while await connection.next_chunk():
             pass
     except AnswerCutError:
         pass  # the refusal's text is of no use; its head is the proof
-    return NotRun(reason, Step.RUN, connection.peer, RETRY_AFTER_REFUSAL_S)
+    return outcome_of(Refused(RefusalCause(cause), RETRY_AFTER_REFUSAL_S), connection.peer)
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -8,27 +8,41 @@
 
 from result import Err, Ok
 
-from fuchsiawell.core import Deadline, NotRun, NotRunReason, Step, Unknown
+from fuchsiawell.core import Answered, Deadline, NotRun, NotRunReason, Step
 from fuchsiawell.daemon.leader.attempt import Attempt, Received
 from fuchsiawell.daemon.leader.connection import AnswerCutError
 from fuchsiawell.daemon.leader.lane import Lane
+from fuchsiawell.daemon.leader.once_answers import collect_answer
+from fuchsiawell.daemon.leader.once_service import OnceCall
 from fuchsiawell.daemon.leader.sending import (
     FirstPart,
     request_headers,
     stream_answer,
 )
 from fuchsiawell.load import Entry, LoadMeter
+from fuchsiawell.once import (
+    AnswerCut,
+    DeadlinePassed,
+    Exchanged,
+    KeptAnswer,
+    NeverSent,
+    outcome_of,
+)
 from fuchsiawell.transport import BodyCutError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiawell.config import Kind
     from fuchsiawell.core import Outcome, ServerId
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
     from fuchsiawell.daemon.leader.connection import Connection
+    from fuchsiawell.daemon.leader.once_service import OnceService
     from fuchsiawell.load import LoadReport
     from fuchsiawell.ownership import Fence, Route, ServerRecord
-    from fuchsiawell.transport import ServerExchange
+    from fuchsiawell.transport import RequestHead, ServerExchange
 
 __all__ = ["LeaderService"]
 
@@ -47,17 +61,24 @@
     entry: Entry
     repeatable: bool
     sent: bool = False  # from here on only an answer or a refusal proves anything
-    whole: bool = False  # the whole answer has been passed on
+    whole: bool = False  # the whole answer has been received
+    first: FirstPart | None = None  # taken before the request was queued
+    may_send: Callable[[], bool] | None = None  # the ledger's word, for never-repeat work
+    status: int = 0
+    kept: KeptAnswer | None = None
     started_s: float = 0.0
 
 
 class LeaderService:
     """Serve the requests that entry daemons send for keys led here."""
 
-    def __init__(self, context: Context, state: CellState, authority: Authority) -> None:
+    def __init__(
+        self, context: Context, state: CellState, authority: Authority, once: OnceService
+    ) -> None:
         self._context = context
         self._state = state
         self._authority = authority
+        self._once = once
         self._lanes_by_server: dict[ServerId, Lane] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._meter = LoadMeter(context.clock.monotonic())
@@ -132,15 +153,37 @@
         deadline = Deadline.after(self._context.clock, head.deadline_s)
         entry = Entry(head.request_id, head.kind, head.caller, deadline.at_s)
         lane = self.lane(route.server)
-        repeatable = self._repeatable(exchange)
-        work = _Work(exchange, route, route.server, lane, deadline, entry, repeatable)
+        kind = self._kind(head)
+        if kind is None:
+            # Unknown here yet: it may be work that must not repeat.
+            return NotRun(NotRunReason.NOT_READY, Step.ROUTE, own, RETRY_AFTER_MOVE_S)
+        work = _Work(exchange, route, route.server, lane, deadline, entry, kind.repeatable)
+        if kind.repeatable:
+            return await self._within_deadline(work)
+        work.first = FirstPart(exchange.take_body(), exchange.body_received())
+        call = OnceCall(exchange, kind, route.shard, deadline, work.first)
+        return await self._once.serve(call, lambda may_send: self._run_once(work, may_send))
+
+    def _kind(self, head: RequestHead) -> Kind | None:
+        configuration = self._state.configuration
+        return None if configuration is None else configuration.kind(head.service, head.kind)
+
+    async def _run_once(self, work: _Work, may_send: Callable[[], bool]) -> Exchanged:
+        work.may_send = may_send
         try:
-            async with asyncio.timeout(max(0.0, head.deadline_s)):
+            outcome = await self._within_deadline(work)
+        except (AnswerCutError, BodyCutError) as error:
+            outcome = outcome_of(AnswerCut(work.status, error.detail), work.server.id)
+        return Exchanged(outcome or Answered(work.status), work.kept)
+
+    async def _within_deadline(self, work: _Work) -> Outcome | None:
+        left_s = work.deadline.remaining_s(self._context.clock)
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
                 return await self._admit(work)
         except TimeoutError:
-            if not work.sent:
-                return NotRun(NotRunReason.DEADLINE, Step.ADMIT, work.server.id)
-            return Unknown(Step.RUN, work.server.id, "deadline passed after sending")
+            late = NeverSent(NotRunReason.DEADLINE, Step.ADMIT)
+            return outcome_of(DeadlinePassed() if work.sent else late, work.server.id)
 
     async def _admit(self, work: _Work) -> Outcome | None:
         shed = await work.lane.gate.enter(work.entry)
@@ -171,10 +214,17 @@
                 return NotRun(fence, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
             if fence.server != work.server.id:
                 return NotRun(NotRunReason.MOVING, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
+            if not self._ledger_agrees(work, fence):
+                return NotRun(NotRunReason.MOVING, Step.SEND, work.server.id, RETRY_AFTER_MOVE_S)
             return await self._exchange(work, connection, fence)
         finally:
             work.lane.pool.give_back(connection)
 
+    def _ledger_agrees(self, work: _Work, fence: Fence) -> bool:
+        if work.may_send is None:
+            return True
+        return self._once.may_send(work.route.shard, fence) and work.may_send()
+
     async def _exchange(self, work: _Work, connection: Connection, fence: Fence) -> Outcome | None:
         ticket = self._authority.enter(work.route.shard, fence)
         work.sent = True
@@ -183,7 +233,9 @@
         try:
             left_s = work.deadline.remaining_s(self._context.clock)
             headers = request_headers(work.exchange, str(work.route.shard), fence, left_s)
-            first = FirstPart(work.exchange.take_body(), work.exchange.body_received())
+            first = work.first or FirstPart(
+                work.exchange.take_body(), work.exchange.body_received()
+            )
             attempt = Attempt(work.lane, work.exchange, first)
             reply = await attempt.run(connection, headers, repeatable=work.repeatable)
             if not isinstance(reply, Received):
@@ -200,15 +252,20 @@
         waited_s = self._context.clock.monotonic() - work.started_s
         work.lane.record_answer(work.exchange.head.kind, waited_s)
         try:
-            await stream_answer(reply.connection, work.exchange, reply.answer)
+            await self._stream_or_keep(work, reply)
         finally:
             if reply.connection is not first:
                 work.lane.pool.give_back(reply.connection)
 
-    def _repeatable(self, exchange: ServerExchange) -> bool:
-        configuration = self._state.configuration
-        kind = configuration and configuration.kind(exchange.head.service, exchange.head.kind)
-        return bool(kind and kind.repeatable)
+    async def _stream_or_keep(self, work: _Work, reply: Received) -> None:
+        work.status = reply.answer.status
+        collected: KeptAnswer | bytes = b""
+        if work.may_send is not None:
+            collected = await collect_answer(reply.connection, reply.answer)
+        if isinstance(collected, KeptAnswer):
+            work.kept = collected
+            return
+        await stream_answer(reply.connection, work.exchange, reply.answer, collected)
 
     def _measure(self, work: _Work) -> None:
         now_s = self._context.clock.monotonic()
--- a/libs/daemon/tests/cell.py
+++ b/libs/daemon/tests/cell.py
@@ -9,7 +9,7 @@
 import itertools
 import os
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -17,6 +17,7 @@
     Address,
     Configuration,
     Goal,
+    IdStyle,
     Kind,
     Limits,
     Service,
@@ -56,6 +57,7 @@
 SERVERS = [ServerId(f"s{n}") for n in range(2)]
 STATUS = Kind("status", repeatable=True, deadline_s=2.0, max_body_bytes=1 << 30)
 FEED = Kind("feed", repeatable=False, deadline_s=2.0, max_body_bytes=1 << 20, resend_window_s=60.0)
+DROP = replace(FEED, name="drop", id_style=IdStyle.MINTED)
 
 
 FIRST_PORT = 20_000  # below the range from which outgoing connections take theirs
@@ -151,7 +153,7 @@
                     True,
                     True,
                     Goal.UNAVAILABLE_TIME,
-                    kinds_by_name={STATUS.name: STATUS, FEED.name: FEED},
+                    kinds_by_name={kind.name: kind for kind in (STATUS, FEED, DROP)},
                 )
             },
         )
--- a/libs/once/src/fuchsiawell/once/__init__.py
+++ b/libs/once/src/fuchsiawell/once/__init__.py
@@ -32,7 +32,7 @@
     StoppedBy,
     UnknownBefore,
 )
-from fuchsiawell.once.requests import OnceRequest, OutagePolicy, content_digest
+from fuchsiawell.once.requests import ANONYMOUS, OnceRequest, OutagePolicy, content_digest
 from fuchsiawell.once.rules import (
     REROUTE_REASONS,
     AnswerCut,
@@ -47,12 +47,14 @@
     WholeAnswer,
     decide_retry,
     outcome_of,
+    outcome_told,
     outcome_unseen,
 )
 from fuchsiawell.once.runner import Exchanged, OnceResult, OnceRunner
 from fuchsiawell.once.suspects import Flight, LossReport, Suspects, suspect_digest
 
 __all__ = [
+    "ANONYMOUS",
     "REROUTE_REASONS",
     "AnswerCut",
     "Attempt",
@@ -105,6 +107,7 @@
     "journal_key",
     "journal_prefix",
     "outcome_of",
+    "outcome_told",
     "outcome_unseen",
     "place_of",
     "suspect_digest",
--- a/libs/once/src/fuchsiawell/once/journal.py
+++ b/libs/once/src/fuchsiawell/once/journal.py
@@ -116,16 +116,13 @@
         on_deposed: Callable[[], None] = lambda: None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
-        """Take 8 random bytes as the process's `nonce`, and the services that go on in an outage.
-
-        `unjournaled_s_by_service` gives their longest resend window; a successor answers unknown
-        for that long after an unclean loss.
-        """
+        """Take 8 random bytes as the process's `nonce`; for the services see `declare`."""
         self._store = store
         self._key = key
         self._nonce = nonce
         self._clock = clock
-        self._declared = dict(unjournaled_s_by_service or {})
+        self._wanted = dict(unjournaled_s_by_service or {})
+        self._declared: dict[ServiceName, float] = {}  # stands in the store
         self._limits = limits or JournalLimits()
         self._on_deposed = on_deposed
         self._sleep = sleep
@@ -153,10 +150,11 @@
             self._carry(found.ok_value)
         except JournalFormatError as error:
             return Err(error)
+        declared = dict(self._wanted)
         written = await self._store.put(self._key, self._value(()), self._revision)
         if isinstance(written, Err):
             return written
-        self._confirm(written.ok_value.revision, ())
+        self._confirm(written.ok_value.revision, {}, declared)
         return Ok(None)
 
     async def read_others(
@@ -197,6 +195,16 @@
             return Unjournaled()
         return NotRecorded(NotRunReason.JOURNAL_UNAVAILABLE)
 
+    def declare(self, unjournaled_s_by_service: dict[ServiceName, float]) -> None:
+        """Name the services that go on in an outage, with their longest resend window.
+
+        A successor answers unknown for that long after an unclean loss, so they go on only once
+        this stands in the store. A declaration ends with the process.
+        """
+        _merge(self._wanted, unjournaled_s_by_service)
+        if self._wanted != self._declared and self.state is JournalState.READY:
+            self._wake()
+
     def retract(self, identity: bytes) -> None:
         """Leave out, from the next write on, an intent whose request is proved not to have run."""
         for entries in self._entries_by_window.values():
@@ -255,7 +263,7 @@
             self._flusher = asyncio.create_task(self._flush())
 
     async def _flush(self) -> None:
-        while self._waiting or self.state is JournalState.DOWN:
+        while self._waiting or self._wanted != self._declared or self.state is JournalState.DOWN:
             await self._pace()
             batch = dict(self._waiting)
             self._waiting.clear()
@@ -274,10 +282,11 @@
     async def _write(self, batch: dict[bytes, _Entry]) -> bool:
         self._drop_expired()
         entries = tuple(entry.encoded for entry in batch.values())
+        declared = dict(self._wanted)
         value = self._value(entries)
         written = await self._store.put(self._key, value, self._revision)
         if isinstance(written, Ok):
-            self._confirm(written.ok_value.revision, batch)
+            self._confirm(written.ok_value.revision, batch, declared)
             return True
         self.state = JournalState.DOWN
         self._next_write_s = self._clock.monotonic() + self._limits.retry_s
@@ -304,7 +313,7 @@
             self._on_deposed()
             return False
         if current.value == value:
-            self._confirm(current.revision, batch)
+            self._confirm(current.revision, batch, self._declared)
             return True
         self._revision = current.revision
         return False
@@ -315,11 +324,14 @@
         except JournalFormatError:
             return False
 
-    def _confirm(self, revision: Revision, batch: dict[bytes, _Entry] | tuple[()]) -> None:
+    def _confirm(
+        self, revision: Revision, batch: dict[bytes, _Entry], declared: dict[ServiceName, float]
+    ) -> None:
         self._revision = revision
+        self._declared = declared
         self.state = JournalState.READY
         self.writes += 1
-        for identity, entry in dict(batch).items():
+        for identity, entry in batch.items():
             self._keep(identity, entry)
             self.intents += 1
             if entry.durable is not None and not entry.durable.done():
@@ -339,7 +351,7 @@
             for entries in self._entries_by_window.values()
             for entry in entries.values()
         )
-        declared = _merge(dict(self._carried_declared), self._declared)
+        declared = _merge(dict(self._carried_declared), self._wanted)
         return encode_journal(self._nonce, self._write_number, declared, (*kept, *added))
 
     def _keep(self, identity: bytes, entry: _Entry) -> None:
--- a/libs/once/src/fuchsiawell/once/records.py
+++ b/libs/once/src/fuchsiawell/once/records.py
@@ -40,7 +40,7 @@
     """Hold a whole answer for resends."""
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
     @property
--- a/libs/once/src/fuchsiawell/once/rules.py
+++ b/libs/once/src/fuchsiawell/once/rules.py
@@ -29,6 +29,7 @@
     "WholeAnswer",
     "decide_retry",
     "outcome_of",
+    "outcome_told",
     "outcome_unseen",
 ]
 
@@ -40,12 +41,16 @@
         NotRunReason.NO_LEADER,
         NotRunReason.NO_OWNER,
         NotRunReason.STOPPING,
+        NotRunReason.UNREACHABLE,
     }
 )
-RETRYABLE_REASONS = REROUTE_REASONS | {
-    NotRunReason.UNREACHABLE,
-    NotRunReason.REFUSED_BY_SERVER,
+RETRYABLE_REASONS = REROUTE_REASONS | {NotRunReason.REFUSED_BY_SERVER}
+UNSEEN_REASONS = REROUTE_REASONS | {
+    NotRunReason.NOT_READY,
+    NotRunReason.CALLER_LIMIT,
+    NotRunReason.TOO_SLOW,
 }
+ENTRY_STEPS = frozenset({Step.ACCEPT, Step.ROUTE, Step.FORWARD})
 REASON_BY_CAUSE = {
     RefusalCause.FENCE: NotRunReason.FENCED,
     RefusalCause.DEADLINE: NotRunReason.DEADLINE,
@@ -147,6 +152,16 @@
             return Unknown(refusal.step, refusal.peer, detail)
 
 
+def outcome_told(outcome: Outcome, attempt: Attempt) -> Outcome:
+    """Return what the entry daemon tells the caller at the end of all its tries."""
+    match outcome:
+        case NotRun(reason) if reason in UNSEEN_REASONS:
+            return outcome_unseen(outcome, attempt)
+        case NotRun(NotRunReason.DEADLINE, step) if step in ENTRY_STEPS:
+            return outcome_unseen(outcome, attempt)
+    return outcome
+
+
 class RetryBudget:
     """Allow retries as a share of recent first tries, so that retries cannot multiply load."""
 
--- a/libs/once/src/fuchsiawell/once/runner.py
+++ b/libs/once/src/fuchsiawell/once/runner.py
@@ -21,14 +21,7 @@
     Run,
     UnknownBefore,
 )
-from fuchsiawell.once.rules import (
-    REROUTE_REASONS,
-    End,
-    NeverSent,
-    WholeAnswer,
-    outcome_of,
-    outcome_unseen,
-)
+from fuchsiawell.once.rules import REROUTE_REASONS, outcome_unseen
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -48,7 +41,7 @@
 class Exchanged:
     """Hold how an exchange with a server ended; `answer` is none if not whole, or too large."""
 
-    end: End
+    outcome: Outcome  # of `outcome_of`
     answer: KeptAnswer | None = None
 
 
@@ -85,6 +78,13 @@
         """Return the requests of a shard that have not ended, to be awaited before a hand-over."""
         return sum(record.shard == shard for record in self._tasks_by_record)
 
+    async def issue(self, shard: ShardId, key: str, deadline: Deadline) -> str | None:
+        """Return an id for a later request, once the scope is open; none at the deadline."""
+        issued = self._ledger.issue(shard, key)
+        while issued is None and await self._wait_for_opening(deadline):
+            issued = self._ledger.issue(shard, key)
+        return issued
+
     async def run(
         self,
         request: OnceRequest,
@@ -94,7 +94,7 @@
         """Run the request through `exchange`, or tell what is known of earlier copies.
 
         `exchange` queues, connects, calls the function it is given right before the first byte
-        leaves, and returns `NeverSent` if that returns false. It keeps the deadline itself. A
+        leaves, and returns `NotRun` if that returns false. It keeps the deadline itself. A
         cancelled caller cancels it, unless another copy of the same id waits.
         """
         match await self._decide(request, deadline):
@@ -118,16 +118,20 @@
 
     async def _decide(self, request: OnceRequest, deadline: Deadline) -> Decision:
         while True:
-            opened = self._opened
             decision = self._ledger.begin(request)
-            left_s = deadline.remaining_s(self._clock)
-            if not isinstance(decision, NotOpen) or left_s <= 0:
-                return decision
-            try:
-                await asyncio.wait_for(opened.wait(), left_s)
-            except TimeoutError:
+            if not isinstance(decision, NotOpen) or not await self._wait_for_opening(deadline):
                 return decision
 
+    async def _wait_for_opening(self, deadline: Deadline) -> bool:
+        left_s = deadline.remaining_s(self._clock)
+        if left_s <= 0:
+            return False
+        try:
+            await asyncio.wait_for(self._opened.wait(), left_s)
+        except TimeoutError:
+            return False
+        return True
+
     def _start(self, ticket: Record, steps: Coroutine[Any, Any, OnceResult]) -> None:
         task = asyncio.create_task(steps)
         self._tasks_by_record[ticket] = task
@@ -169,15 +173,15 @@
 
     async def _record_intent(
         self, request: OnceRequest, ticket: Record, deadline: Deadline
-    ) -> NeverSent | None:
+    ) -> NotRun | None:
         left_s = deadline.remaining_s(self._clock)
         try:
             recorded = await asyncio.wait_for(self._journal.record(request), left_s)
         except TimeoutError:
-            return NeverSent(NotRunReason.DEADLINE, Step.INTENT)
+            return NotRun(NotRunReason.DEADLINE, Step.INTENT, self._peer)
         match recorded:
             case NotRecorded(reason):
-                return NeverSent(reason, Step.INTENT, RETRY_SOON_S)
+                return NotRun(reason, Step.INTENT, self._peer, RETRY_SOON_S)
             case Recorded() | Unjournaled():
                 self._ledger.intent_recorded(ticket)
         return None
@@ -188,9 +192,9 @@
         return self._ledger.send(ticket)
 
     def _end(self, request: OnceRequest, ticket: Record, exchanged: Exchanged) -> OnceResult:
-        outcome = outcome_of(exchanged.end, self._peer)
+        outcome = exchanged.outcome
         match outcome:
-            case Answered() if isinstance(exchanged.end, WholeAnswer):
+            case Answered():
                 self._ledger.answered(ticket, exchanged.answer)
                 return OnceResult(outcome, exchanged.answer)
             case NotRun(reason, step, peer, retry_after_s):
@@ -198,7 +202,7 @@
                 self._forget(ticket, reason, quiet_s)
                 if quiet_s and retry_after_s is not None:
                     return OnceResult(NotRun(reason, step, peer, max(retry_after_s, quiet_s)))
-            case _:
+            case Unknown():
                 self._ledger.unknown(ticket)
         return OnceResult(outcome)
 
--- a/libs/once/tests/test_ledger.py
+++ b/libs/once/tests/test_ledger.py
@@ -30,7 +30,7 @@
 SHARD = ShardId(DROPS, 3)
 PIN = ShardId(DROPS, 1_000_000)
 NEVER_LED = Stopped(StoppedBy.NEVER_LED, 0.0)
-ANSWER = KeptAnswer(200, (("a", "b"),), b"dropped")
+ANSWER = KeptAnswer(200, ((b"a", b"b"),), b"dropped")
 
 
 def request(id: str = "r1", key: str = "pen-4", shard: ShardId = SHARD) -> OnceRequest:
--- a/libs/once/tests/test_rules.py
+++ b/libs/once/tests/test_rules.py
@@ -21,6 +21,7 @@
     WholeAnswer,
     decide_retry,
     outcome_of,
+    outcome_told,
     outcome_unseen,
 )
 
@@ -58,6 +59,19 @@
     assert isinstance(outcome_unseen(SHED, Attempt.RESEND), Unknown)
 
 
+def test_the_entry_daemon_vouches_only_for_what_a_ledger_saw() -> None:
+    by_ledger = NotRun(NotRunReason.DEADLINE, Step.INTENT, "a")
+    assert outcome_told(by_ledger, Attempt.UNMARKED) == by_ledger
+    assert outcome_told(SHED, Attempt.UNMARKED) == SHED
+    for unseen in (
+        NotRun(NotRunReason.NO_LEADER, Step.ROUTE, "a"),
+        NotRun(NotRunReason.DEADLINE, Step.ROUTE, "a"),
+        NotRun(NotRunReason.CALLER_LIMIT, Step.ACCEPT, "a"),
+    ):
+        assert isinstance(outcome_told(unseen, Attempt.UNMARKED), Unknown)
+        assert outcome_told(unseen, Attempt.FIRST) == unseen
+
+
 def retry(outcome: Outcome, attempt: Attempt, budget: RetryBudget, left_s: float = 5.0) -> object:
     return decide_retry(outcome, attempt, 1, left_s, budget, Backoff(), Random(1))
 
--- a/libs/once/tests/test_runner.py
+++ b/libs/once/tests/test_runner.py
@@ -28,6 +28,7 @@
     NeverSent,
     Refused,
     WholeAnswer,
+    outcome_of,
 )
 from fuchsiawell.once.runner import Exchanged, OnceResult, OnceRunner
 from fuchsiawell.standins.faults import Hang, ScriptedFaults
@@ -70,10 +71,11 @@
 
     async def exchange(self, may_send: Callable[[], bool]) -> Exchanged:
         if not may_send():
-            return Exchanged(MOVING)
+            return Exchanged(outcome_of(MOVING, "a"))
         self.executions += 1
         await asyncio.sleep(self.takes_s)
-        return Exchanged(self.end, ANSWER if isinstance(self.end, WholeAnswer) else None)
+        answer = ANSWER if isinstance(self.end, WholeAnswer) else None
+        return Exchanged(outcome_of(self.end, "a"), answer)
 
     async def run(self, request: OnceRequest = REQUEST, budget_s: float = 5.0) -> OnceResult:
         deadline = Deadline.after(LoopClock(), budget_s)
--- a/libs/transport/src/fuchsiawell/transport/frames.py
+++ b/libs/transport/src/fuchsiawell/transport/frames.py
@@ -67,6 +67,7 @@
     idempotency_key: str | None
     caller: str
     attempt: int = 1
+    stated_first: bool = False  # the caller states that it never sent this idempotency key before
 
     def to_wire(self) -> list[Any]:
         """Return the fields in order."""
@@ -82,6 +83,7 @@
             self.idempotency_key,
             self.caller,
             self.attempt,
+            self.stated_first,
         ]
 
     @classmethod
