--- a/libs/standins/src/fuchsiawell/standins/__main__.py
+++ b/libs/standins/src/fuchsiawell/standins/__main__.py
@@ -17,6 +17,7 @@
     ExecutionLog,
     limited_protocol,
 )
+from fuchsiawell.standins.faults import CapacityFaults
 from fuchsiawell.standins.hosts_server import hosts_app
 from fuchsiawell.standins.lagged import Lagged
 from fuchsiawell.standins.memory_store import MemoryStore
@@ -24,12 +25,16 @@
 from fuchsiawell.standins.store_server import store_app
 
 
-def store(*, port: int) -> None:
+def store(*, port: int, reads_per_s: float = 2_000.0, writes_per_s: float = 400.0) -> None:
     """Serve the key-value service, empty.
 
     :param port: port on the loopback address
+    :param reads_per_s: reads that it handles, more wait or are refused
+    :param writes_per_s: writes that it handles, more wait or are refused
     """
-    server_of(store_app(MemoryStore(SystemClock())), port).run()
+    clock = SystemClock()
+    capacity = CapacityFaults(clock, reads_per_s, writes_per_s)
+    server_of(store_app(MemoryStore(clock, capacity)), port).run()
 
 
 def hosts(*, port: int, list_file: Path | None = None, lag_s: float = 0.0) -> None:
--- a/libs/standins/src/fuchsiawell/standins/faults.py
+++ b/libs/standins/src/fuchsiawell/standins/faults.py
@@ -7,16 +7,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from fuchsiawell.platform import TokenBucket
+from fuchsiawell.platform.calls import READS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
     from random import Random
 
+    from fuchsiawell.core import Clock
     from fuchsiawell.platform import CallKind
 
 __all__ = [
+    "CapacityFaults",
     "DropWatch",
     "Fault",
     "FaultPlan",
+    "FirstOf",
     "Hang",
     "LapseLeases",
     "LoseAnswer",
@@ -30,6 +36,8 @@
     "Slow",
 ]
 
+BURST_S = 0.1  # seconds of a rate that may be used at once
+
 
 @dataclass(frozen=True, slots=True)
 class NoFault:
@@ -143,3 +151,35 @@
     def decide(self, kind: CallKind, key: str) -> Fault:
         """Return the set fault where the kind is chosen."""
         return self._fault if self._kinds is None or kind in self._kinds else NoFault()
+
+
+class CapacityFaults(FaultPlan):
+    """Be as fast as the service is said to be: calls over its rates wait, and then are refused."""
+
+    def __init__(
+        self, clock: Clock, reads_per_s: float, writes_per_s: float, max_wait_s: float = 1.0
+    ) -> None:
+        """Allow a tenth of a second's calls at once."""
+        self._reads = TokenBucket(clock, reads_per_s, max(1.0, reads_per_s * BURST_S))
+        self._writes = TokenBucket(clock, writes_per_s, max(1.0, writes_per_s * BURST_S))
+        self._max_wait_s = max_wait_s
+
+    def decide(self, kind: CallKind, key: str) -> Fault:
+        """Return the wait that the call must take, if any."""
+        bucket = self._reads if kind in READS else self._writes
+        wait_s = bucket.reserve(self._max_wait_s)
+        if wait_s is None:
+            return Refuse()
+        return Slow(wait_s) if wait_s > 0 else NoFault()
+
+
+class FirstOf(FaultPlan):
+    """Ask several plans, and take the first fault."""
+
+    def __init__(self, *plans: FaultPlan) -> None:
+        self._plans = plans
+
+    def decide(self, kind: CallKind, key: str) -> Fault:
+        """Return the fault of the first plan that has one; later plans are not asked."""
+        faults = (plan.decide(kind, key) for plan in self._plans)
+        return next((fault for fault in faults if fault != NoFault()), NoFault())
--- a/libs/standins/src/fuchsiawell/standins/store_server.py
+++ b/libs/standins/src/fuchsiawell/standins/store_server.py
@@ -23,7 +23,7 @@
     Unavailable,
 )
 from fuchsiawell.standins.fault_models import FaultModel
-from fuchsiawell.standins.faults import SettableFaults
+from fuchsiawell.standins.faults import FirstOf, SettableFaults
 from fuchsiawell.standins.serving import link_of
 
 if TYPE_CHECKING:
@@ -50,9 +50,9 @@
 
 
 def store_app(store: MemoryStore) -> Starlette:
-    """Return the application; its faults are set at `/_admin/faults`."""
+    """Return the application; faults set at `/_admin/faults` go before the store's own plan."""
     faults = SettableFaults()
-    store.plan = faults
+    store.plan = FirstOf(faults, store.plan)
 
     async def call(request: Request) -> Response:
         try:
--- a/libs/standins/tests/test_faults.py
+++ b/libs/standins/tests/test_faults.py
@@ -2,14 +2,20 @@
 
 from random import Random
 
+import pytest
+
+from fuchsiawell.core import ManualClock
 from fuchsiawell.platform import CallKind
 from fuchsiawell.standins.faults import (
+    CapacityFaults,
+    FirstOf,
     LoseAnswer,
     NoFault,
     RandomFaults,
     Refuse,
     ScriptedFaults,
     SettableFaults,
+    Slow,
 )
 
 
@@ -36,3 +42,22 @@
     assert plan.decide(CallKind.GET, "a") == NoFault()
     plan.clear()
     assert plan.decide(CallKind.PUT, "a") == NoFault()
+
+
+def test_calls_over_the_capacity_wait_and_then_are_refused() -> None:
+    clock = ManualClock()
+    plan = CapacityFaults(clock, reads_per_s=10, writes_per_s=2, max_wait_s=0.15)
+    reads = [plan.decide(CallKind.GET, "a") for _ in range(3)]
+    assert reads == [NoFault(), Slow(pytest.approx(0.1)), Refuse()]  # type: ignore[arg-type]
+    assert plan.decide(CallKind.PUT, "a") == NoFault()
+    clock.advance(0.1)
+    assert plan.decide(CallKind.LIST, "a") == Slow(pytest.approx(0.1))  # type: ignore[arg-type]
+
+
+def test_the_first_plan_with_a_fault_decides() -> None:
+    first, second = SettableFaults(), SettableFaults()
+    plan = FirstOf(first, second)
+    second.set(LoseAnswer())
+    assert plan.decide(CallKind.GET, "a") == LoseAnswer()
+    first.set(Refuse())
+    assert plan.decide(CallKind.GET, "a") == Refuse()
