--- /dev/null
+++ b/libs/bench/src/fuchsiawell/bench/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Policy under load: who serves what, measured on seeded traces in virtual time."""
+
+from __future__ import annotations
--- a/libs/load/src/fuchsiawell/load/admission.py
+++ b/libs/load/src/fuchsiawell/load/admission.py
@@ -154,7 +154,6 @@
     def finish(self, entry: Entry, now_s: float, *, measured: bool = True) -> Progress:
         """Free the slot of a request that ended; `measured` is false if it was cut or cancelled."""
         started_s = self._started_s_by_entry.pop(entry)
-        self._shares.release(entry)
         if measured:
             self._times.record(entry.kind, now_s - started_s)
         return self._advance(now_s)
@@ -251,7 +250,7 @@
     def _wait(self, entry: Entry) -> None:
         work_s = self._times.mean_s(entry.kind)
         self._waiting.add(entry, entry.deadline_s, work_s)
-        self._shares.wait(entry, work_s)
+        self._shares.add(entry, work_s)
 
     def _advance(self, now_s: float) -> Progress:
         start: list[Entry] = []
@@ -276,11 +275,10 @@
 
     def _start(self, entry: Entry, now_s: float) -> None:
         self._started_s_by_entry[entry] = now_s
-        self._shares.run(entry, self._times.mean_s(entry.kind))
 
     def _take(self, entry: Entry) -> None:
         self._waiting.remove(entry)
-        self._shares.release(entry)
+        self._shares.remove(entry)
 
     def _take_all(self) -> tuple[Entry, ...]:
         entries = tuple(entry for entry, _ in self._waiting)
@@ -322,12 +320,16 @@
         return len(self._started_s_by_entry) < self._limit(now_s)
 
     def _limit(self, now_s: float) -> int:
+        if self._cold_since_s is None and not self._slots_withheld:
+            return self._settings.slots
         return max(1, min(self._warm_slots(now_s), self._settings.slots - self._withheld(now_s)))
 
     def _withheld(self, now_s: float) -> int:
         if not self._slots_withheld:
             return 0
         recovered = int((now_s - self._last_refusal_s) / SLOT_RECOVERY_S)
+        if recovered >= self._slots_withheld:
+            self._slots_withheld = 0
         return max(0, self._slots_withheld - recovered)
 
     def _warm_slots(self, now_s: float) -> int:
