--- a/libs/bench/src/fuchsiawell/bench/policy/routing.py
+++ b/libs/bench/src/fuchsiawell/bench/policy/routing.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiawell.bench.policy.traces import Site, Trace
 
 __all__ = [
@@ -35,6 +37,8 @@
         self.site: Site = trace.site
         self.live = set(range(self.site.servers))
         self.keys_moved = 0
+        self.keys_moved_by_loss = 0
+        self.usable_slots: Callable[[int, float], int] = lambda server, now_s: self.site.slots
 
     @abstractmethod
     def route(self, key: int, now_s: float) -> tuple[int, float]:
@@ -79,6 +83,8 @@
         """Give a shard another owner."""
         if self.owner_by_shard[shard] == to:
             return
+        if self.owner_by_shard[shard] not in self.live:
+            self.keys_moved_by_loss += self.keys_by_shard[shard]
         self.owner_by_shard[shard] = to
         self.ready_by_shard[shard] = now_s + MOVE_S
         self.keys_moved += self.keys_by_shard[shard]
@@ -186,6 +192,7 @@
         best = min(self.live, key=lambda s: (self._seen(s), s != before, self._distance(s)))
         if before is not None and best != before:
             self.keys_moved += 1
+            self.keys_moved_by_loss += before not in self.live
             self._ready_by_key[key] = max(now_s, self._ready_by_key.get(key, 0.0)) + self.move_s
         self._owner_by_key[key] = best
         return best, self._ready_by_key.get(key, 0.0)
--- a/libs/load/src/fuchsiawell/load/admission.py
+++ b/libs/load/src/fuchsiawell/load/admission.py
@@ -137,6 +137,16 @@
         """Count the requests that wait."""
         return len(self._waiting)
 
+    def expected_s(self, kind: str) -> float:
+        """Return how long a request is expected to keep a slot; the work of one that was shed."""
+        return self._times.mean_s(kind)
+
+    def limit(self, now_s: float) -> int:
+        """Return the slots in use now: fewer after a cold start or the server's own shedding."""
+        if self._cold_since_s is None and not self._slots_withheld:
+            return self._settings.slots
+        return max(1, min(self._warm_slots(now_s), self._settings.slots - self._withheld(now_s)))
+
     def offer(self, entry: Entry, now_s: float) -> Decision:
         """Decide at once on a new request."""
         refusal = self._refuse_outright(entry, now_s)
@@ -170,7 +180,7 @@
         busy_s = self._busy_left_s(now_s)
         shed = []
         for entry, work_s in self._waiting:
-            finish_s = self._first_start_s(now_s) + busy_s / self._limit(now_s) + work_s
+            finish_s = self._first_start_s(now_s) + busy_s / self.limit(now_s) + work_s
             if finish_s > entry.deadline_s:
                 shed.append(self._shed_waiting(entry, ShedCause.DEADLINE, now_s))
             else:
@@ -296,11 +306,11 @@
 
     def _drained_in_s(self, now_s: float) -> float:
         work_s = self._busy_left_s(now_s) + self._waiting.work_ahead_s(float("inf"))
-        return self._first_start_s(now_s) - now_s + work_s / self._limit(now_s)
+        return self._first_start_s(now_s) - now_s + work_s / self.limit(now_s)
 
     def _finish_s(self, entry: Entry, now_s: float) -> float:
         ahead_s = self._waiting.work_ahead_s(entry.deadline_s)
-        wait_s = (self._busy_left_s(now_s) + ahead_s) / self._limit(now_s)
+        wait_s = (self._busy_left_s(now_s) + ahead_s) / self.limit(now_s)
         own_s = self._times.mean_s(entry.kind)
         margin_s = SAFETY_DEVIATIONS * self._times.deviation_s(entry.kind)
         return self._first_start_s(now_s) + wait_s + own_s + margin_s
@@ -317,12 +327,7 @@
     def _may_start(self, now_s: float) -> bool:
         if self._draining or self._suspended or now_s < self._paused_until_s:
             return False
-        return len(self._started_s_by_entry) < self._limit(now_s)
-
-    def _limit(self, now_s: float) -> int:
-        if self._cold_since_s is None and not self._slots_withheld:
-            return self._settings.slots
-        return max(1, min(self._warm_slots(now_s), self._settings.slots - self._withheld(now_s)))
+        return len(self._started_s_by_entry) < self.limit(now_s)
 
     def _withheld(self, now_s: float) -> int:
         if not self._slots_withheld:
--- a/libs/load/src/fuchsiawell/load/balancer.py
+++ b/libs/load/src/fuchsiawell/load/balancer.py
@@ -27,6 +27,9 @@
 MAX_STEPS = 32  # decisions for a service in one call
 COOL_LOAD = 0.01  # of a mean server's load, below which a pinned key has cooled
 COOL_S = 60.0  # for which it must stay cool
+PRESSURE = 0.6  # busy share of a server from which queueing grows quickly
+OVERLOAD = 0.85  # busy share at which requests miss their deadlines
+MIN_RELUCTANCE = 0.2  # of a move's cost, counted even then
 FORGOTTEN_HALF_LIVES = 8  # after which a transfer no longer shows in the measured load
 
 
@@ -97,12 +100,14 @@
         return decisions + self._cool(view, assignment, corrected, now_s)
 
     def _due(self, view: ServiceView, now_s: float) -> bool:
-        """Tell whether the imbalance has exceeded the trigger for long enough."""
+        """Tell whether the imbalance has exceeded the trigger for long enough, or refuses work."""
         if view.imbalance() < self._weights.trigger:
             self._over_since_s = None
             return False
         if self._over_since_s is None:
             self._over_since_s = now_s
+        if max(map(view.load, view.busy_by_server)) >= OVERLOAD:
+            return True
         return now_s - self._over_since_s >= self._weights.sustain_s
 
     def _level(self, view: ServiceView, now_s: float) -> list[BalanceDecision]:
@@ -126,9 +131,10 @@
     def _best(self, view: ServiceView, may_pin: bool) -> _Choice | None:
         """Return the best move from the busiest server from which any move is worth its cost."""
         mean = view.mean_load()
+        reference = view.reference_load()
         targets = view.idlest_first()[:TARGETS_TRIED]
         for source in view.busiest_first():
-            if view.load(source) <= self._weights.settled * mean:
+            if view.load(source) <= self._weights.settled * reference:
                 return None
             choices = [
                 choice
@@ -148,7 +154,7 @@
         before = view.load(source)
         after = max(view.load_after(source, -unit.busy), view.load_after(target, unit.busy))
         cost = self._weights.key_cost if unit.is_one_key else self._weights.shard_cost
-        score = (before - after) / mean - cost
+        score = (before - after) / mean - cost * _reluctance(before)
         return _Choice(unit, source, target, score) if score > 0 else None
 
     def _cool(
@@ -192,6 +198,11 @@
         return replace(load, busy_by_shard=busy_by_shard)
 
 
+def _reluctance(load: float) -> float:
+    """Return the part of a move's cost to count: less, the nearer the source is to overload."""
+    return min(1.0, max(MIN_RELUCTANCE, (OVERLOAD - load) / (OVERLOAD - PRESSURE)))
+
+
 def _decision(choice: _Choice) -> Move | Pin:
     unit = choice.unit
     if unit.key is None:
--- a/libs/load/src/fuchsiawell/load/report.py
+++ b/libs/load/src/fuchsiawell/load/report.py
@@ -28,7 +28,7 @@
 MAX_SHARDS = 256  # heaviest shards named in one report; the others are in the server's total
 MAX_HOT_KEYS = 32
 KEYS_HELD = 128  # by the sketch: a key above 1/128 of the leader's load cannot hide
-HALF_LIFE_S = 20.0  # of busy time; shorter follows noise, longer is late for a hot key
+HALF_LIFE_S = 10.0  # of busy time; shorter follows noise, longer is late for a hot key
 
 
 class LoadReportFormatError(FuchsiawellError):
@@ -59,7 +59,7 @@
 
     server: ServerId
     busy: float  # slots, decayed mean
-    slots: int
+    slots: int  # that the queue uses now, see `Admission.limit`
     queued: int
 
 
@@ -89,7 +89,11 @@
     def record(
         self, server: ServerId, shard: ShardId, key: str, busy_s: float, now_s: float
     ) -> None:
-        """Count one request that kept a slot of `server` for `busy_s`."""
+        """Count one request that kept a slot of `server` for `busy_s`.
+
+        A request that was shed counts with its expected time, so that the load shows what was
+        asked of a server and not only what it could do.
+        """
         self._servers.add(server, busy_s, now_s)
         self._shards.add((server, shard), busy_s, now_s)
         self._keys.add((shard.service, key), busy_s, now_s)
--- a/libs/load/src/fuchsiawell/load/service_view.py
+++ b/libs/load/src/fuchsiawell/load/service_view.py
@@ -60,10 +60,26 @@
         slots = sum(self.slots_by_server.values())
         return sum(self.busy_by_server.values()) / slots if slots else 0.0
 
+    def reference_load(self) -> float:
+        """Return the load that the busiest server cannot be brought below.
+
+        That is the mean, or the load of the hottest unit alone on a server.
+        """
+        hottest = max(
+            (
+                unit.busy / self.slots_by_server[server]
+                for server, units in self._units_by_server.items()
+                for unit in units
+                if unit.is_one_key
+            ),
+            default=0.0,
+        )
+        return max(self.mean_load(), hottest)
+
     def imbalance(self) -> float:
-        """Return the busiest server's load over the mean; 1 if nothing is busy."""
-        mean = self.mean_load()
-        return max(map(self.load, self.busy_by_server)) / mean if mean > 0 else 1.0
+        """Return the busiest server's load over the reference; 1 if nothing is busy."""
+        reference = self.reference_load()
+        return max(map(self.load, self.busy_by_server)) / reference if reference > 0 else 1.0
 
     def busiest_first(self) -> list[ServerId]:
         """Return the active servers, busiest first."""
--- a/libs/load/src/fuchsiawell/load/sketch.py
+++ b/libs/load/src/fuchsiawell/load/sketch.py
@@ -13,6 +13,7 @@
 K = TypeVar("K")
 
 MAX_EXPONENT = 60.0  # of the growing weight, before all counts are scaled down
+MIN_AGE_S = 1.0  # taken for a younger sketch, which knows too little to divide by
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
         self._capacity = capacity
         self._decay_per_s = log(2) / half_life_s
         self._origin_s = now_s
+        self._start_s = now_s
         self._total = 0.0
         self._count_by_key: dict[K, float] = {}
         self._error_by_key: dict[K, float] = {}
@@ -61,18 +63,18 @@
 
     def top(self, limit: int, now_s: float) -> list[Hitter[K]]:
         """Return the heaviest keys, heaviest first."""
-        per_s = self._decay_per_s / self._scale(now_s)
+        per_s = self._per_s(now_s)
         ranked = sorted(self._count_by_key.items(), key=lambda item: -item[1])[:limit]
         return [Hitter(key, c * per_s, self._error_by_key[key] * per_s) for key, c in ranked]
 
     def rate(self, key: K, now_s: float) -> float:
         """Return the estimate of one key, 0 if it is not held."""
         found = self._count_by_key.get(key, 0.0)
-        return found * self._decay_per_s / self._scale(now_s)
+        return found * self._per_s(now_s)
 
     def total_rate(self, now_s: float) -> float:
         """Return the decayed weight a second of all keys together."""
-        return self._total * self._decay_per_s / self._scale(now_s)
+        return self._total * self._per_s(now_s)
 
     def _evict_smallest(self) -> float:
         """Drop the key of the smallest count, and return that count.
@@ -89,6 +91,12 @@
             del self._error_by_key[key]
             return current
 
+    def _per_s(self, now_s: float) -> float:
+        """Return what turns a count into weight a second, also while the sketch is young."""
+        age_s = max(now_s - self._start_s, MIN_AGE_S)
+        seen_share = 1 - exp(-self._decay_per_s * age_s)
+        return self._decay_per_s / (self._scale(now_s) * seen_share)
+
     def _scale(self, now_s: float) -> float:
         exponent = self._decay_per_s * (now_s - self._origin_s)
         if exponent <= MAX_EXPONENT:
--- a/libs/load/src/fuchsiawell/load/weights.py
+++ b/libs/load/src/fuchsiawell/load/weights.py
@@ -23,22 +23,22 @@
 
 
 IMBALANCE_FIRST = BalanceWeights(
-    trigger=1.08,
-    settled=1.04,
-    sustain_s=3.0,
-    key_cost=0.004,
-    shard_cost=0.02,
+    trigger=1.10,
+    settled=1.03,
+    sustain_s=2.0,
+    key_cost=0.002,
+    shard_cost=0.04,
     key_moves_per_min=40.0,
-    shard_moves_per_min=12.0,
+    shard_moves_per_min=16.0,
 )
 UNAVAILABLE_FIRST = BalanceWeights(
-    trigger=1.15,
-    settled=1.08,
-    sustain_s=5.0,
-    key_cost=0.01,
+    trigger=1.12,
+    settled=1.04,
+    sustain_s=2.0,
+    key_cost=0.004,
     shard_cost=0.05,
-    key_moves_per_min=20.0,
-    shard_moves_per_min=4.0,
+    key_moves_per_min=30.0,
+    shard_moves_per_min=16.0,
 )
 
 
