--- a/libs/bench/src/fuchsiawell/bench/policy/cell.py
+++ b/libs/bench/src/fuchsiawell/bench/policy/cell.py
@@ -10,6 +10,7 @@
 from fuchsiawell.bench.policy.traces import DURATION_S, arrivals
 from fuchsiawell.core import RequestId
 from fuchsiawell.load import Admission, Admit, Entry, Queued, QueueSettings, Shed
+from fuchsiawell.load.coalesce import Coalescer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,7 +65,7 @@
 class CellRun:
     """Feed one trace through one policy; every request ends in exactly one way."""
 
-    def __init__(self, trace: Trace, router: Router, seed: int) -> None:
+    def __init__(self, trace: Trace, router: Router, seed: int, *, coalesce: bool = False) -> None:
         self._trace = trace
         self._site = trace.site
         self._router = router
@@ -74,6 +75,9 @@
         self._generations = [0] * self._site.servers
         self._down: set[int] = set()
         self._cold_until_s = [0.0] * self._site.servers
+        self._coalescers: list[Coalescer[Entry]] | None = None
+        if coalesce:
+            self._coalescers = [Coalescer() for _ in range(self._site.servers)]
         self._requests: dict[Entry, _Request] = {}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._sequence = count()
@@ -147,7 +151,12 @@
             self._offer(entry, arrival.at_s)
 
     def _offer(self, entry: Entry, now_s: float) -> None:
-        match self._queues[self._requests[entry].server].offer(entry, now_s):
+        request = self._requests[entry]
+        if self._coalescers and request.arrival.is_read:
+            fingerprint = request.arrival.key.to_bytes(4)
+            if self._coalescers[request.server].join(fingerprint, entry) is not None:
+                return
+        match self._queues[request.server].offer(entry, now_s):
             case Admit():
                 self._start(entry, now_s)
             case Queued(displaced):
@@ -158,6 +167,8 @@
 
     def _start(self, entry: Entry, now_s: float) -> None:
         request = self._requests[entry]
+        if self._coalescers:
+            self._coalescers[request.server].started(entry)
         request.generation = self._generations[request.server]
         service_s = request.arrival.service_s
         if now_s < self._cold_until_s[request.server]:
@@ -176,7 +187,9 @@
         else:
             self._count_busy(server, service_s, now_s)
             self._router.record(server, request.arrival.key, service_s, now_s)
-            self._answer(entry, now_s)
+            members = self._coalescers[server].finish(entry) if self._coalescers else ()
+            for answered in (entry, *members):
+                self._answer(answered, now_s)
         self._follow(progress, now_s)
 
     def _answer(self, entry: Entry, now_s: float) -> None:
@@ -198,6 +211,9 @@
 
     def _fail(self, entry: Entry) -> None:
         request = self._requests.pop(entry)
+        if self._coalescers:
+            for member in self._coalescers[request.server].finish(entry):
+                self._fail(member)
         self._router.outstanding(request.server, -1)
         self.figures.failed += 1
         self.figures.unavailable_s += self._site.deadline_s
--- a/libs/bench/src/fuchsiawell/bench/policy/traces.py
+++ b/libs/bench/src/fuchsiawell/bench/policy/traces.py
@@ -19,6 +19,7 @@
 DURATION_S = 300.0
 SERVICE_SHAPE = 4.0  # of a gamma distribution: a deviation of half the mean
 HOT_KEYS = 51
+READ_SHARE = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,11 +109,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Hold one request: when it comes, for which key, and for how long it keeps a slot."""
+    """Hold one request: when it comes, for which key, for how long it keeps a slot."""
 
     at_s: float
     key: int
     service_s: float
+    is_read: bool  # equal to any other read of the key
 
 
 @lru_cache(maxsize=1)
@@ -136,7 +138,7 @@
         if key is None:
             key = random.choices(key_by_rank, cum_weights=cumulative)[0]
         service_s = random.gammavariate(SERVICE_SHAPE, site.service_s / SERVICE_SHAPE)
-        yield Arrival(now_s, key, service_s)
+        yield Arrival(now_s, key, service_s, random.random() < READ_SHARE)
 
 
 def _hot_key(trace: Trace, now_s: float, random: Random) -> int | None:
--- a/libs/load/src/fuchsiawell/load/__init__.py
+++ b/libs/load/src/fuchsiawell/load/__init__.py
@@ -14,6 +14,11 @@
     ShedCause,
     ShedEntry,
 )
+from fuchsiawell.load.balancer import Balancer
+from fuchsiawell.load.cell_load import CellLoad, merge_reports
+from fuchsiawell.load.coalesce import Coalescer
+from fuchsiawell.load.decisions import BalanceDecision, Move, Pin, Unpin
+from fuchsiawell.load.placement import evacuate
 from fuchsiawell.load.report import (
     HotKey,
     LoadMeter,
@@ -25,26 +30,40 @@
     encode_load_report,
 )
 from fuchsiawell.load.sketch import HeavyHitters, Hitter
+from fuchsiawell.load.weights import IMBALANCE_FIRST, UNAVAILABLE_FIRST, BalanceWeights, weights_for
 
 __all__ = [
+    "Admission",
+    "Admit",
+    "BalanceDecision",
+    "BalanceWeights",
+    "Balancer",
+    "CellLoad",
+    "Coalescer",
+    "Decision",
+    "Entry",
     "HeavyHitters",
     "Hitter",
     "HotKey",
+    "IMBALANCE_FIRST",
     "LoadMeter",
     "LoadReport",
     "LoadReportFormatError",
-    "ServerLoad",
-    "ShardLoad",
-    "decode_load_report",
-    "encode_load_report",
-    "Admission",
-    "Admit",
-    "Decision",
-    "Entry",
+    "Move",
+    "Pin",
     "Progress",
     "QueueSettings",
     "Queued",
+    "ServerLoad",
+    "ShardLoad",
     "Shed",
     "ShedCause",
     "ShedEntry",
+    "UNAVAILABLE_FIRST",
+    "Unpin",
+    "decode_load_report",
+    "encode_load_report",
+    "evacuate",
+    "merge_reports",
+    "weights_for",
 ]
