--- a/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
@@ -36,6 +36,8 @@
 from fuchsiawell.ownership.membership import CLOCK_MARGIN
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from transitions.core import TransitionConfigDict
 
     from fuchsiawell.core import ShardId
@@ -96,6 +98,9 @@
     """Take over, serve, release and give up one server; sends nothing itself."""
 
     state: LeadershipState
+    confirm: Callable[[], bool]  # these three are bound by the state machine
+    miss: Callable[[], bool]
+    give_up: Callable[[], bool]
 
     def __init__(
         self, record: ServerRecord, longest_deadline_s: float, inflight: InFlight, now_s: float
@@ -171,7 +176,8 @@
     def tick(self, now_s: float) -> list[Action]:
         """Return the calls that are due."""
         if self._call is not None and now_s - self._call_sent_s >= CALL_TIMEOUT_S:
-            self._call, self._answers_in_row = None, 0
+            self._call = None
+            self._on_no_answer()
         self._judge_silence(now_s)
         actions: list[Action] = []
         if self._call is None:
@@ -214,28 +220,15 @@
             facts.add(ServerDraining(id, term))
         return facts
 
-    def confirm(self) -> bool:
-        """Enter SERVING; the state machine replaces this method."""
-        raise NotImplementedError
-
-    def miss(self) -> bool:
-        """Enter SILENT; the state machine replaces this method."""
-        raise NotImplementedError
-
-    def give_up(self) -> bool:
-        """Enter LOST; the state machine replaces this method."""
-        raise NotImplementedError
-
     def _next_call(self, now_s: float) -> Action | None:
-        since_s = now_s - self._call_sent_s
         if self.state is LeadershipState.LOST or not self.record.checks_fence:
-            return self._probe() if since_s >= PROBE_S else None
+            return self._probe() if now_s - self._call_sent_s >= PROBE_S else None
         if not self._clock_known:
             return self._probe()
         if self._granted != self._wanted or self.state is not LeadershipState.SERVING:
             self._last_grant_sent_s = now_s
             return self._install()
-        if since_s >= RENEW_S:
+        if now_s - self._last_grant_sent_s >= RENEW_S:
             self._last_grant_sent_s = now_s
             return self._renew()
         return None
@@ -274,7 +267,7 @@
     def _on_answer(self, event: Event, now_s: float) -> None:
         call, self._call = self._call, None
         if isinstance(event, NoAnswer):
-            self._answers_in_row = 0
+            self._on_no_answer()
             return
         self._last_answer_s = now_s
         self._answers_in_row += 1
@@ -294,6 +287,11 @@
             self._clock_ms, self._clock_known = event.clock_ms, True
             self._clock_from_s = self._call_sent_s
 
+    def _on_no_answer(self) -> None:
+        """Ask for a sign of life next: grants sent into silence would only put off their lapse."""
+        self._answers_in_row = 0
+        self._clock_known = False
+
     def _on_granted(self) -> None:
         self._granted_until_s = self._clock_from_s + GRANT_TTL_S * (1 - CLOCK_MARGIN)
         self.confirm()
