Run the control plane in the daemon

Application takes a host list; without one, ownership stays as the record says (tests of the path).

Two holes in the grant protocol are closed: a grant in a frozen server's socket buffer came into force on its return (now counted from the server's own clock), and an overtaken grant brought a released shard back (now refused by call number); a test of the stand-in for each. Every answer to a grant now tells that clock, so test_its_own_paths_speak_as_the_headers_module_says expects it, still by whole equality, and one path more. A new cell no longer hands servers over right after its first record: daemons that cannot act because they know no members yet counted as inactive.

--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from fuchsiawell.daemon.cell_state import CellState
+from fuchsiawell.daemon.control import Control
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
 from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService, OnceService
 from fuchsiawell.daemon.operators import OperatorServer, StatusSource
@@ -15,7 +16,7 @@
 if TYPE_CHECKING:
     from fuchsiawell.core import DaemonId
     from fuchsiawell.daemon.context import Context
-    from fuchsiawell.platform import Store
+    from fuchsiawell.platform import HostList, Store
     from fuchsiawell.transport import ServerExchange
 
 __all__ = ["Application"]
@@ -24,18 +25,23 @@
 class Application(LinkHooks, StatusSource):
     """Start the parts in order, run until told to stop, and stop them in reverse."""
 
-    def __init__(self, context: Context, store: Store) -> None:
+    def __init__(self, context: Context, store: Store, hosts: HostList | None = None) -> None:
+        """Without a host list, ownership is as the store's record says; for tests of the path."""
         self._context = context
         settings = context.settings
         own, clock, lamport = settings.daemon, context.clock, context.lamport
         self.state = CellState()
         self._store = store
         self._reader = RecordReader(context, self.state, self._store)
-        authority = AssignedAuthority(own, self.state)
-        self._once = OnceService(context, self.state, store, authority)
-        self._leader = LeaderService(context, self.state, authority, self._once)
         self._listener = PeerListener(own, clock, lamport, self)
         self._peers = Peers(own, clock, lamport, self)
+        self.control = (
+            None if hosts is None else Control(context, self.state, self._peers, store, hosts)
+        )
+        fixed = AssignedAuthority(own, self.state)
+        authority = fixed if self.control is None else self.control.authority
+        self._once = OnceService(context, self.state, store, authority)
+        self._leader = LeaderService(context, self.state, authority, self._once)
         loopback = open_loopback(own, clock, lamport, self)
         forwarder = Forwarder(context, self.state, self._peers, loopback)
         self._entry = EntryApp(context, self.state, forwarder)
@@ -49,7 +55,10 @@
         await self._operators.start()
         await self._listener.start(settings.peer_address.host, settings.peer_address.port)
         self._peers.start()
-        self._reader.start()
+        if self.control is None:
+            self._reader.start()
+        else:
+            self.control.start()
         self._once.start()
         await self._callers.start()
         self._context.log.event("started", daemon=settings.daemon, zone=settings.zone)
@@ -67,10 +76,14 @@
     async def stop(self) -> None:
         """End every request in flight, then release what `start` opened."""
         self._context.log.event("stopping")
+        if self.control is not None:
+            await self.control.leave()
         await self._callers.stop()
         await self._leader.drain()
         await self._once.stop()
         await self._reader.stop()
+        if self.control is not None:
+            await self.control.stop()
         await self._leader.close()
         await self._peers.close()
         await self._listener.close()
@@ -86,6 +99,8 @@
 
     def on_control(self, sender: DaemonId, kind: str, body: Any) -> None:
         """Take a control message."""
+        if self.control is not None:
+            self.control.on_control(sender, kind, body)
 
     # What operators see.
 
@@ -100,7 +115,13 @@
     def status(self) -> dict[str, Any]:
         """Return what this daemon knows of itself and its cell."""
         settings = self._context.settings
-        return {"daemon": settings.daemon, "zone": settings.zone, "cell": settings.cell}
+        control = {} if self.control is None else self.control.status()
+        return {
+            "daemon": settings.daemon,
+            "zone": settings.zone,
+            "cell": settings.cell,
+            **control,
+        }
 
     def metrics(self) -> dict[str, Any]:
         """Return counts and latencies."""
--- /dev/null
+++ b/libs/daemon/src/fuchsiawell/daemon/control/loops.py
@@ -0,0 +1,44 @@
+"""Steps that a daemon repeats for as long as it runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from fuchsiawell.core import FuchsiawellError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fuchsiawell.core import EventLog
+
+__all__ = ["Loops"]
+
+
+class Loops:
+    """Own the tasks of repeated steps; a step that fails is logged and taken again."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def every(self, period_s: float, name: str, step: Callable[[], Awaitable[None]]) -> None:
+        """Take the step at once, and again `period_s` after each time that it ended."""
+        self._tasks.append(asyncio.create_task(self._repeat(period_s, name, step), name=name))
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    async def _repeat(
+        self, period_s: float, name: str, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except (FuchsiawellError, OSError, LookupError, ValueError, TypeError) as error:
+                self._log.warning("step failed", step=name, detail=repr(error))
+            await asyncio.sleep(period_s)
--- a/libs/daemon/src/fuchsiawell/daemon/run.py
+++ b/libs/daemon/src/fuchsiawell/daemon/run.py
@@ -11,7 +11,7 @@
 from fuchsiawell.core import LamportClock, RandomIds, SystemClock, open_event_log
 from fuchsiawell.daemon.application import Application
 from fuchsiawell.daemon.context import Context
-from fuchsiawell.platform import HttpStore
+from fuchsiawell.platform import HttpHostList, HttpStore
 
 if TYPE_CHECKING:
     from fuchsiawell.config import Settings
@@ -31,7 +31,8 @@
     log = open_event_log(settings.daemon, clock, lamport, level)
     context = Context(settings, clock, lamport, log, RandomIds(), Random())
     store = HttpStore(settings.store_url.removeprefix("http://"))
-    application = Application(context, store)
+    hosts = HttpHostList(settings.host_list_url.removeprefix("http://"))
+    application = Application(context, store, hosts)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, application.request_stop)
--- a/libs/ownership/src/fuchsiawell/ownership/controller.py
+++ b/libs/ownership/src/fuchsiawell/ownership/controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from fuchsiawell.ownership.assignment import Assignment
@@ -33,6 +34,7 @@
 
     All daemons heard so far are its members; the hosts listed so far its servers.
     """
+    evidence = replace(evidence, inactive=frozenset())  # without members nobody can act
     members = tuple(sorted({*evidence.incarnations_by_daemon, evidence.self_id}))
     draft = Draft(Assignment(cell, evidence.self_id, 1, members))
     draft.zones_by_daemon = evidence.zones_by_daemon
--- a/libs/ownership/src/fuchsiawell/ownership/leadership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/leadership.py
@@ -117,6 +117,10 @@
             facts |= led.facts()
         return frozenset(facts)
 
+    def states(self) -> dict[ServerId, str]:
+        """Return the state of each leadership, for operators."""
+        return {id: led.state.value for id, led in self._by_server.items()}
+
     def _may_act(self, now_s: float) -> bool:
         membership = self._membership
         return membership.has_right(now_s) and membership.incarnation == self._incarnation
--- a/libs/ownership/src/fuchsiawell/ownership/membership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/membership.py
@@ -104,6 +104,9 @@
         self._members_since_s = now_s
         for member in members:
             self._peers_by_id.setdefault(member, _Peer(heard_s=now_s))
+        for peer in self._peers_by_id.values():
+            if peer.inactive_since_s is not None:
+                peer.inactive_since_s = now_s  # nobody could act by a set it did not know
         self._refresh(now_s)
 
     def heartbeats(self, now_s: float, others: Iterable[DaemonId]) -> dict[DaemonId, Heartbeat]:
@@ -252,6 +255,8 @@
     def _is_lost(self, member: DaemonId, now_s: float) -> bool:
         windows = self._silence_windows(member, now_s)
         needed = len(self.members) // 2 + 1
+        if len(windows) < needed:
+            return False
         return any(
             sum(start <= end - SILENT_S and until >= end for start, until in windows) >= needed
             for _, end in windows
--- a/libs/ownership/src/fuchsiawell/ownership/observer.py
+++ b/libs/ownership/src/fuchsiawell/ownership/observer.py
@@ -7,6 +7,8 @@
 from fuchsiawell.ownership.evidence import Evidence
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fuchsiawell.core import DaemonId
     from fuchsiawell.ownership.assignment import Assignment
     from fuchsiawell.ownership.evidence import Fact, Request
@@ -16,6 +18,9 @@
 __all__ = ["Observer"]
 
 
+REQUEST_S = 3.0  # a request that nobody repeats is forgotten after this time
+
+
 class Observer:
     """Hold the latest facts, requests and hints, by daemon; later ones replace earlier ones."""
 
@@ -25,13 +30,17 @@
         self._facts_by_daemon: dict[DaemonId, frozenset[Fact]] = {}
         self._controller_lost: tuple[DaemonId, float] | None = None
         self.hosts: tuple[Host, ...] = ()
-        self.requests: tuple[Request, ...] = ()
+        self._asked_s_by_request: dict[Request, float] = {}
         self.rebalanced_s = float("-inf")
 
     def on_facts(self, daemon: DaemonId, facts: frozenset[Fact]) -> None:
         """Take everything that a leader states at present."""
         self._facts_by_daemon[daemon] = facts
 
+    def on_requests(self, requests: Iterable[Request], now_s: float) -> None:
+        """Take what a balancer or an operator asks for; it counts for REQUEST_S."""
+        self._asked_s_by_request |= dict.fromkeys(requests, now_s)
+
     def evidence(self, assignment: Assignment, now_s: float) -> Evidence:
         """Return what is known at this instant, with `assignment` as the record in force."""
         membership = self._membership
@@ -59,10 +68,16 @@
             started_for_s=now_s - self._started_s,
             hosts=self.hosts,
             facts_by_daemon=dict(self._facts_by_daemon),
-            requests=self.requests,
+            requests=self._requests(now_s),
             rebalanced_s=self.rebalanced_s,
         )
 
+    def _requests(self, now_s: float) -> tuple[Request, ...]:
+        asked = self._asked_s_by_request
+        for request in [r for r, asked_s in asked.items() if now_s - asked_s >= REQUEST_S]:
+            del asked[request]
+        return tuple(asked)
+
     def _controller_lost_for_s(
         self, controller: DaemonId | None, lost: frozenset[DaemonId], now_s: float
     ) -> float | None:
--- a/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
@@ -54,7 +54,7 @@
 ]
 
 GRANT_TTL_S = 0.8  # a grant holds so long after the server's clock reading that it is based on
-RENEW_S = 0.2  # least time between two renewals
+RENEW_S = 0.25  # least time between two renewals
 CALL_TIMEOUT_S = 0.3  # a call that is not answered by then counts as unanswered
 PROBE_S = 0.4  # least time between two probes
 LAPSE_MARGIN_S = 0.1  # beyond the TTL before a grant counts as lapsed; covers timer granularity
--- a/libs/ownership/tests/test_controller.py
+++ b/libs/ownership/tests/test_controller.py
@@ -91,6 +91,12 @@
     assert rests(record, evidence())
 
 
+def test_a_new_cell_uses_daemons_that_cannot_act_yet() -> None:
+    seen = evidence(acting=frozenset(), inactive=frozenset(DAEMONS[1:]))
+    made = first_assignment(CellName("viti-west"), seen, SETTINGS)
+    assert {server.leader for server in made.servers_by_id.values()} == set(DAEMONS)
+
+
 def test_who_hears_no_majority_decides_nothing() -> None:
     assert rests(first(), evidence(has_right=False, **without("d1", "d2")))
 
--- a/libs/standins/src/fuchsiawell/standins/backend/app.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/app.py
@@ -45,11 +45,14 @@
     term: int
     ttl_ms: int
     epochs: dict[str, int]
+    call: int | None = None
+    clock_ms: int | None = None
 
 
 class _RenewModel(BaseModel):
     term: int
     ttl_ms: int
+    clock_ms: int | None = None
 
 
 class _ReleaseModel(BaseModel):
@@ -109,6 +112,7 @@
     def _routes(self) -> list[Route]:
         fenced = [
             Route(ServerPath.GRANT, self._grant, methods=["POST"]),
+            Route(ServerPath.GRANT, self._tell_clock, methods=["GET"]),
             Route(ServerPath.RENEW, self._renew, methods=["POST"]),
             Route(ServerPath.RELEASE, self._release, methods=["POST"]),
         ]
@@ -125,19 +129,36 @@
 
     async def _grant(self, request: Request) -> Response:
         model = _GrantModel.model_validate_json(await request.body())
-        answer = self.grants.install(model.term, model.ttl_ms / 1000, model.epochs)
-        return _grant_response(answer)
+        answer = self.grants.install(
+            model.term, model.ttl_ms / 1000, model.epochs, model.call, model.clock_ms
+        )
+        return self._grant_response(answer)
 
     async def _renew(self, request: Request) -> Response:
         model = _RenewModel.model_validate_json(await request.body())
-        return _grant_response(self.grants.renew(model.term, model.ttl_ms / 1000))
+        answer = self.grants.renew(model.term, model.ttl_ms / 1000, model.clock_ms)
+        return self._grant_response(answer)
 
     async def _release(self, request: Request) -> Response:
         model = _ReleaseModel.model_validate_json(await request.body())
         answer = self.grants.release(model.term, model.shard)
         if isinstance(answer, Accepted):
             await self.worker.wait_until_idle(model.shard)
-        return _grant_response(answer)
+        return self._grant_response(answer)
+
+    async def _tell_clock(self, request: Request) -> Response:
+        return JSONResponse({"clock_ms": self.grants.clock_ms})
+
+    def _grant_response(self, answer: GrantAnswer) -> Response:
+        clock = {"clock_ms": self.grants.clock_ms}
+        match answer:
+            case Accepted():
+                return JSONResponse(clock)
+            case HigherTerm(term):
+                return JSONResponse({"term": term, **clock}, HTTPStatus.CONFLICT)
+            case GrantLapsed():
+                detail = {"error": "no grant of this term"}
+                return JSONResponse({**detail, **clock}, HTTPStatus.GONE)
 
     async def _cancel(self, request: Request) -> Response:
         model = _CancelModel.model_validate_json(await request.body())
@@ -199,13 +220,3 @@
 
 async def _not_found(request: Request) -> Response:
     return JSONResponse({"error": "this server knows no grants"}, HTTPStatus.NOT_FOUND)
-
-
-def _grant_response(answer: GrantAnswer) -> Response:
-    match answer:
-        case Accepted():
-            return JSONResponse({})
-        case HigherTerm(term):
-            return JSONResponse({"term": term}, HTTPStatus.CONFLICT)
-        case GrantLapsed():
-            return JSONResponse({"error": "no grant of this term"}, HTTPStatus.GONE)
--- a/libs/standins/src/fuchsiawell/standins/backend/grants.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/grants.py
@@ -13,6 +13,9 @@
 __all__ = ["Accepted", "Fence", "GrantAnswer", "GrantLapsed", "Grants", "HigherTerm"]
 
 
+MS_PER_S = 1000
+
+
 @dataclass(frozen=True, slots=True)
 class Fence:
     """Hold what a request says of the right under which it was sent."""
@@ -48,25 +51,43 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._term = 0
+        self._last_call = 0
         self._lapses_at_s = clock.monotonic()
         self._epoch_by_shard: dict[str, int] = {}
 
-    def install(self, term: int, ttl_s: float, epochs: Mapping[str, int]) -> GrantAnswer:
-        """Replace all grants of a lower or the same term."""
-        if term < self._term:
+    @property
+    def clock_ms(self) -> int:
+        """Return this server's clock, on which a leader is to base its next grant."""
+        return int(self._clock.monotonic() * MS_PER_S)
+
+    def install(
+        self,
+        term: int,
+        ttl_s: float,
+        epochs: Mapping[str, int],
+        call: int | None = None,
+        clock_ms: int | None = None,
+    ) -> GrantAnswer:
+        """Replace all grants of a lower or the same term, unless a later call was here before.
+
+        With `clock_ms` they hold until this clock reads so much plus `ttl_s`, however late the
+        call arrives.
+        """
+        if term < self._term or (term == self._term and call and call <= self._last_call):
             return HigherTerm(self._term)
+        self._last_call = call or 0
         self._term = term
         self._epoch_by_shard = dict(epochs)
-        self._lapses_at_s = self._clock.monotonic() + ttl_s
+        self._lapses_at_s = self._lapse_s(ttl_s, clock_ms)
         return Accepted()
 
-    def renew(self, term: int, ttl_s: float) -> GrantAnswer:
+    def renew(self, term: int, ttl_s: float, clock_ms: int | None = None) -> GrantAnswer:
         """Extend the grants of `term`, unless they lapsed."""
         if term < self._term:
             return HigherTerm(self._term)
         if term > self._term or self._lapsed():
             return GrantLapsed()
-        self._lapses_at_s = self._clock.monotonic() + ttl_s
+        self._lapses_at_s = max(self._lapses_at_s, self._lapse_s(ttl_s, clock_ms))
         return Accepted()
 
     def release(self, term: int, shard: str) -> GrantAnswer:
@@ -84,3 +105,7 @@
 
     def _lapsed(self) -> bool:
         return self._clock.monotonic() >= self._lapses_at_s
+
+    def _lapse_s(self, ttl_s: float, clock_ms: int | None) -> float:
+        now_s = self._clock.monotonic()
+        return ttl_s + (now_s if clock_ms is None else min(now_s, clock_ms / MS_PER_S))
--- a/libs/standins/tests/backend/test_grants.py
+++ b/libs/standins/tests/backend/test_grants.py
@@ -47,3 +47,21 @@
     assert grants.allows(Fence("p/1", 3, 2))
     grants.install(3, 1.0, {"p/0": 8})
     assert not grants.allows(Fence("p/1", 3, 2))
+
+
+def test_a_grant_that_was_held_up_is_born_lapsed() -> None:
+    clock = ManualClock(10.0)
+    grants = Grants(clock)
+    told_ms = grants.clock_ms
+    clock.advance(5.0)  # the server was frozen with the call in its socket buffer
+    assert grants.install(3, 0.8, {"p/0": 7}, call=1, clock_ms=told_ms) == Accepted()
+    assert not grants.allows(Fence("p/0", 3, 7))
+
+
+def test_a_grant_that_was_overtaken_cannot_bring_a_released_shard_back() -> None:
+    grants = Grants(ManualClock())
+    assert grants.install(3, 1.0, {"p/1": 2}, call=2) == Accepted()
+    grants.release(3, "p/0")
+    assert grants.install(3, 1.0, {"p/0": 7, "p/1": 2}, call=1) == HigherTerm(3)
+    assert not grants.allows(Fence("p/0", 3, 7))
+    assert grants.install(4, 1.0, {"p/0": 8}, call=1) == Accepted()
--- a/libs/standins/tests/backend/test_worker.py
+++ b/libs/standins/tests/backend/test_worker.py
@@ -284,9 +284,12 @@
 async def test_its_own_paths_speak_as_the_headers_module_says() -> None:
     bench = Bench()
     grant = b'{"leader": "d1", "term": %d, "ttl_ms": 800, "epochs": {"penwatch/0": 8}}'
-    assert await bench.own("POST", "/_owner/grant", grant % 4) == {}
-    assert await bench.own("POST", "/_owner/grant", grant % 3) == {"term": 4}
-    assert await bench.own("POST", "/_owner/renew", b'{"term": 4, "ttl_ms": 800}') == {}
+    assert await bench.own("POST", "/_owner/grant", grant % 4) == {"clock_ms": 0}
+    refusal = await bench.own("POST", "/_owner/grant", grant % 3)
+    assert refusal == {"term": 4, "clock_ms": 0}
+    renewal = await bench.own("POST", "/_owner/renew", b'{"term": 4, "ttl_ms": 800}')
+    assert renewal == {"clock_ms": 0}
+    assert await bench.own("GET", "/_owner/grant") == {"clock_ms": 0}
     await bench.time.run(0.8)
     assert "error" in await bench.own("POST", "/_owner/renew", b'{"term": 4, "ttl_ms": 800}')
     assert "error" in await bench.own("POST", "/_owner/grant", b"{}")
