Count outcomes and latencies; bound what an entry daemon tries

Cause: nothing told how many callers got which outcome; an entry daemon looked for a new owner until the caller's deadline, and repeated requests of unknown outcome without a budget.

--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -125,4 +125,4 @@
 
     def metrics(self) -> dict[str, Any]:
         """Return counts and latencies."""
-        return {"in_flight": self._entry.in_flight}
+        return {"in_flight": self._entry.in_flight, **self._entry.metrics.to_json()}
--- a/libs/daemon/src/fuchsiawell/daemon/entry/app.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/app.py
@@ -8,6 +8,7 @@
 
 from fuchsiawell.core import RequestId
 from fuchsiawell.daemon.entry.call import Call, CallerGoneError
+from fuchsiawell.daemon.metrics import Metrics
 
 if TYPE_CHECKING:
     from fuchsiawell.daemon.cell_state import CellState
@@ -26,6 +27,7 @@
         self._state = state
         self._forwarder = forwarder
         self.in_flight = 0
+        self.metrics = Metrics()
         # The server logs each dropped connection as an error of the application.
         logging.getLogger("uvicorn.error").addFilter(_not_a_dropped_connection)
 
@@ -38,6 +40,7 @@
             self._context,
             self._state,
             self._forwarder,
+            self.metrics,
             RequestId(self._context.ids.new()),
             (scope, receive, send),
         )
--- a/libs/daemon/src/fuchsiawell/daemon/entry/call.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/call.py
@@ -9,6 +9,7 @@
 
 from fuchsiawell.config import IdStyle
 from fuchsiawell.core import (
+    Answered,
     Deadline,
     FuchsiawellError,
     Header,
@@ -32,6 +33,7 @@
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.entry.asgi import CallerConnection, Receive, Scope, Send
     from fuchsiawell.daemon.entry.forward import Forwarder
+    from fuchsiawell.daemon.metrics import Metrics
     from fuchsiawell.transport import Headers
 
 __all__ = ["Call", "CallerGoneError"]
@@ -52,29 +54,44 @@
         context: Context,
         state: CellState,
         forwarder: Forwarder,
+        metrics: Metrics,
         request_id: RequestId,
         asgi: tuple[Scope, Receive, Send],
     ) -> None:
         self._context = context
         self._state = state
         self._forwarder = forwarder
+        self._metrics = metrics
+        self._names = ("", "")  # of service and kind, once they are known to exist
         self._request_id = request_id
         self._scope, self._receive, self._send = asgi
         self.caller_gone = False
 
     async def serve(self) -> None:
         """Answer the caller with a whole answer, a proof of not run, or unknown."""
+        started_s = self._context.clock.monotonic()
         connection = self._watch_caller()
+        outcome: Outcome | None = None
         try:
             reply = await self._ask()
             if isinstance(reply, Reply):
                 await self._pass_on(reply)
+                outcome = Answered(reply.head.status)
             else:
                 await self._describe(reply)
+                outcome = reply
         finally:
+            self._measure(outcome, self._context.clock.monotonic() - started_s)
             if connection is not None:
                 connection.on_lost = None
 
+    def _measure(self, outcome: Outcome | None, waited_s: float) -> None:
+        if outcome is None:
+            self._metrics.count_cut()
+        else:
+            service, kind = self._names
+            self._metrics.record(service, kind, outcome, waited_s)
+
     def _watch_caller(self) -> CallerConnection | None:
         extensions = self._scope.get("extensions") or {}
         connection: CallerConnection | None = extensions.get(CONNECTION_EXTENSION)
@@ -96,6 +113,7 @@
         kind = self._kind(target)
         if isinstance(kind, NotRun):
             return kind
+        self._names = (target.service, target.kind)
         headers: Headers = self._scope["headers"]
         budget_s = self._budget_s(headers, kind)
         if budget_s is None:
--- a/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from fuchsiawell.core import NotRun, NotRunReason, Step, Unknown
+from fuchsiawell.once import RetryBudget
 from fuchsiawell.transport import AnswerHead, BodyCutError
 
 if TYPE_CHECKING:
@@ -34,7 +35,9 @@
 FIRST_BACKOFF_S = 0.01
 MAX_BACKOFF_S = 0.2
 LEADER_GRACE_S = 0.05  # the leader's own word on a passed deadline is awaited so much longer
-MAX_ATTEMPTS = 40  # with `MAX_BACKOFF_S` between them, more than any recovery takes
+RECOVERY_S = 4.0  # longer than a loss may take to be served again; then the caller is told
+RETRY_SHARE = 0.1  # repeated requests of unknown outcome, as a share of all requests
+RETRY_BURST = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,31 +56,35 @@
         self._state = state
         self._peers = peers
         self._loopback = loopback
+        self._retries = RetryBudget(RETRY_SHARE, RETRY_BURST)
 
     async def forward(
         self, head: RequestHead, body: CallerBody, deadline: Deadline, repeatable: bool
     ) -> Reply | Outcome:
         """Return the leader's reply; a short body is sent again where that cannot harm."""
-        replayable = body.whole
-        outcome: Outcome = NotRun(NotRunReason.DEADLINE, Step.ROUTE, head.service)
+        clock = self._context.clock
+        give_up_at_s = min(deadline.at_s, clock.monotonic() + RECOVERY_S)
+        self._retries.count_first_try()
         backoff_s = FIRST_BACKOFF_S
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            head.attempt = attempt
-            head.deadline_s = deadline.remaining_s(self._context.clock)
-            if head.deadline_s <= 0:
-                return outcome
-            match await self._ask(head, body):
-                case Reply() as reply:
-                    return reply
-                case NotRun(reason) as outcome if replayable and reason in REROUTED:
-                    pass
-                case Unknown() as outcome if replayable and repeatable:
-                    pass
-                case other:
-                    return other
+        head.attempt = 1
+        while True:
+            head.deadline_s = deadline.remaining_s(clock)
+            reply = await self._ask(head, body)
+            again = body.whole and self._worth_asking_again(reply, repeatable)
+            if not again or clock.monotonic() + backoff_s >= give_up_at_s:
+                return reply
             await self._news_or_backoff(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-        return outcome
+            head.attempt += 1
+
+    def _worth_asking_again(self, reply: Reply | Outcome, repeatable: bool) -> bool:
+        match reply:
+            case NotRun(reason):
+                return reason in REROUTED
+            case Unknown():
+                return repeatable and self._retries.take()
+            case _:
+                return False
 
     async def _ask(self, head: RequestHead, body: CallerBody) -> Reply | Outcome:
         link = await self._link(head)
