Vouch for a refusal only with the right to act

Cause: a paused leader that returns refused a copy of an id that its successor had run, which made 'not run' false. Change: the runner asks the right to act, under the fence that the ledger was opened with, before it tells any refusal; without it the copy is rerouted. Conclusion: test with a right that lapses while the request runs.

--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
@@ -70,7 +70,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._ledger.close_all()
 
-    def may_send(self, shard: ShardId, fence: Fence) -> bool:
+    def is_open_under(self, shard: ShardId, fence: Fence) -> bool:
         """Tell whether the ledger was opened under just this fence."""
         return self._fence_by_shard.get(shard) == fence
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
@@ -35,7 +35,6 @@
     from fuchsiawell.daemon.leader.authority import Authority
     from fuchsiawell.daemon.leader.sending import FirstPart
     from fuchsiawell.once import Exchanged
-    from fuchsiawell.ownership import Fence
     from fuchsiawell.platform import Store
     from fuchsiawell.transport import RequestHead, ServerExchange
 
@@ -69,8 +68,8 @@
         self._ledger = Ledger(clock, Mint(nonce, secret[:32]))
         key = journal_key(context.settings.cell, own)
         self._journal = Journal(store, key, nonce, clock, on_deposed=self._deposed)
-        # The authority is asked again, for the very fence, before the runner's `may_send`.
-        self._runner = OnceRunner(self._ledger, self._journal, clock, lambda: True, own)
+        self._authority = authority
+        self._runner = OnceRunner(self._ledger, self._journal, clock, self._may_act, own)
         self._scopes = OnceScopes(
             context, state, authority, self._ledger, self._journal, self._runner
         )
@@ -86,10 +85,6 @@
         await self._scopes.stop()
         await self._journal.close()
 
-    def may_send(self, shard: ShardId, fence: Fence) -> bool:
-        """Tell whether the ledger stands for work sent under this fence."""
-        return self._scopes.may_send(shard, fence)
-
     async def serve(
         self, call: OnceCall, exchange: Callable[[Callable[[], bool]], Awaitable[Exchanged]]
     ) -> Outcome | None:
@@ -148,6 +143,10 @@
         if self._state.configuration is not None:
             self._journal.declare(_windows_of(self._state.configuration))
 
+    def _may_act(self, shard: ShardId) -> bool:
+        fence = self._authority.permit(shard)
+        return not isinstance(fence, NotRunReason) and self._scopes.is_open_under(shard, fence)
+
     def _deposed(self) -> None:
         self._context.log.warning("journal written by another process", step="intent")
         self._ledger.close_all()
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -214,17 +214,12 @@
                 return NotRun(fence, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
             if fence.server != work.server.id:
                 return NotRun(NotRunReason.MOVING, Step.ROUTE, work.server.id, RETRY_AFTER_MOVE_S)
-            if not self._ledger_agrees(work, fence):
+            if work.may_send is not None and not work.may_send():
                 return NotRun(NotRunReason.MOVING, Step.SEND, work.server.id, RETRY_AFTER_MOVE_S)
             return await self._exchange(work, connection, fence)
         finally:
             work.lane.pool.give_back(connection)
 
-    def _ledger_agrees(self, work: _Work, fence: Fence) -> bool:
-        if work.may_send is None:
-            return True
-        return self._once.may_send(work.route.shard, fence) and work.may_send()
-
     async def _exchange(self, work: _Work, connection: Connection, fence: Fence) -> Outcome | None:
         ticket = self._authority.enter(work.route.shard, fence)
         work.sent = True
--- a/libs/once/src/fuchsiawell/once/runner.py
+++ b/libs/once/src/fuchsiawell/once/runner.py
@@ -57,9 +57,18 @@
     """Run each id at most once, and tell every copy of it the same."""
 
     def __init__(
-        self, ledger: Ledger, journal: Journal, clock: Clock, may_act: Callable[[], bool], peer: str
+        self,
+        ledger: Ledger,
+        journal: Journal,
+        clock: Clock,
+        may_act: Callable[[ShardId], bool],
+        peer: str,
     ) -> None:
-        """Take `may_act`, asked right before bytes leave, and this daemon's name for outcomes."""
+        """Take this daemon's name for outcomes, and `may_act`.
+
+        That is asked right before bytes leave, and before a refusal is told: without the right to
+        act, another leader may have run what this one knows nothing of.
+        """
         self._ledger = ledger
         self._journal = journal
         self._clock = clock
@@ -109,9 +118,9 @@
             case UnknownBefore(detail):
                 return OnceResult(Unknown(Step.ADMIT, self._peer, detail))
             case Conflict():
-                return self._not_run(NotRunReason.ID_CONFLICT, None)
+                return self._refused(request.shard, NotRunReason.ID_CONFLICT, None)
             case Refuse(reason, retry_after_s):
-                return self._not_run(reason, retry_after_s)
+                return self._refused(request.shard, reason, retry_after_s)
             case NotOpen():
                 refusal = NotRun(NotRunReason.MOVING, Step.ADMIT, self._peer, RETRY_SOON_S)
                 return OnceResult(outcome_unseen(refusal, request.attempt))
@@ -187,7 +196,7 @@
         return None
 
     def _send(self, ticket: Record, deadline: Deadline) -> bool:
-        if deadline.passed(self._clock) or not self._may_act():
+        if deadline.passed(self._clock) or not self._may_act(ticket.shard):
             return False
         return self._ledger.send(ticket)
 
@@ -201,7 +210,9 @@
                 quiet_s = 0.0 if reason in REROUTE_REASONS else request.quiet_s
                 self._forget(ticket, reason, quiet_s)
                 if quiet_s and retry_after_s is not None:
-                    return OnceResult(NotRun(reason, step, peer, max(retry_after_s, quiet_s)))
+                    retry_after_s = max(retry_after_s, quiet_s)
+                refusal = NotRun(reason, step, peer, retry_after_s)
+                return OnceResult(self._vouched(ticket.shard, refusal))
             case Unknown():
                 self._ledger.unknown(ticket)
         return OnceResult(outcome)
@@ -219,5 +230,13 @@
         elif ticket.unsent:
             self._forget(ticket, NotRunReason.CANCELLED, 0.0)
 
-    def _not_run(self, reason: NotRunReason, retry_after_s: float | None) -> OnceResult:
-        return OnceResult(NotRun(reason, Step.ADMIT, self._peer, retry_after_s))
+    def _refused(
+        self, shard: ShardId, reason: NotRunReason, retry_after_s: float | None
+    ) -> OnceResult:
+        refusal = NotRun(reason, Step.ADMIT, self._peer, retry_after_s)
+        return OnceResult(self._vouched(shard, refusal))
+
+    def _vouched(self, shard: ShardId, refusal: NotRun) -> NotRun:
+        if self._may_act(shard):
+            return refusal
+        return NotRun(NotRunReason.MOVING, refusal.step, self._peer, RETRY_SOON_S)
--- a/libs/once/tests/test_runner.py
+++ b/libs/once/tests/test_runner.py
@@ -55,7 +55,7 @@
         self.journal = Journal(self.store, "journal", b"n" * 8, clock)
         self.ledger = Ledger(clock, Mint(b"n" * 8, b"s" * 16))
         self.right = True
-        self.runner = OnceRunner(self.ledger, self.journal, clock, lambda: self.right, "a")
+        self.runner = OnceRunner(self.ledger, self.journal, clock, lambda _: self.right, "a")
         self.executions = 0
         self.end: End = WholeAnswer(200)
         self.takes_s = 0.1
@@ -147,6 +147,19 @@
     run_virtual(main())
 
 
+def test_a_leader_without_the_right_to_act_vouches_for_no_refusal() -> None:
+    async def main() -> None:
+        leader = await Leader().opened()
+        leader.end = Refused(RefusalCause.SHED)
+        task = asyncio.create_task(leader.run())
+        await asyncio.sleep(0.05)
+        leader.right = False
+        for outcome in ((await task).outcome, (await leader.run()).outcome):
+            assert isinstance(outcome, NotRun) and outcome.reason is NotRunReason.MOVING
+
+    run_virtual(main())
+
+
 def test_requests_wait_for_a_scope_and_prove_nothing_without_it() -> None:
     async def main() -> None:
         leader = Leader()
