--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from fuchsiawell.core import NotRunReason
+from fuchsiawell.daemon.leader.once_windows import outage_windows
 from fuchsiawell.once import (
     JournalState,
     Places,
@@ -140,9 +141,18 @@
             if self._authority.permit(scope.shard) == fence:
                 stopped = Stopped(_stopped_by(assignment, fence), stopped_s)
                 self._ledger.take_over([scope], stopped, narrowed)
+        self._declare()
         self._context.log.event("scopes opened", shards=len(wanted), intents=len(narrowed.intents))
         self._runner.scopes_opened()
 
+    def _declare(self) -> None:
+        """Declare the shards led here that go on in a store outage."""
+        if self._state.configuration is None:
+            return
+        windows_s = outage_windows(self._state.configuration)
+        led = self._fence_by_shard
+        self._journal.declare({s: windows_s[s.service] for s in led if s.service in windows_s})
+
     def _follow_pins(self, assignment: Assignment) -> None:
         """Close keys that were pinned away, and open them again when they come back."""
         if self._pins == assignment.pins_by_key:
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
@@ -11,6 +11,7 @@
 from fuchsiawell.daemon.http_fields import field
 from fuchsiawell.daemon.leader.once_answers import id_offer, reply_kept
 from fuchsiawell.daemon.leader.once_scopes import OnceScopes
+from fuchsiawell.daemon.leader.once_windows import lingers_s, window_s
 from fuchsiawell.once import (
     ANONYMOUS,
     Attempt,
@@ -28,8 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from fuchsiawell.config import Configuration, Kind
-    from fuchsiawell.core import Deadline, Outcome, ServiceName, ShardId
+    from fuchsiawell.config import Kind
+    from fuchsiawell.core import Deadline, Outcome, ShardId
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
@@ -40,8 +41,6 @@
 
 __all__ = ["OnceCall", "OnceService"]
 
-STALL_S = 3.0  # a silent stream between daemons is given up within this time
-
 
 @dataclass(frozen=True, slots=True)
 class OnceCall:
@@ -76,8 +75,6 @@
 
     def start(self) -> None:
         """Begin to open scopes."""
-        self._state.listen(self._declare)
-        self._declare()
         self._scopes.start()
 
     async def stop(self) -> None:
@@ -127,11 +124,11 @@
             call.shard,
             head.idempotency_key or "",
             _content(head, call.first),
-            _window_s(kind),
+            window_s(kind),
             _caller(head),
             OutagePolicy.GO_ON if continues and self._checks_fence(head) else OutagePolicy.REFUSE,
             Attempt.FIRST if head.stated_first else Attempt.UNMARKED,
-            kind.deadline_s + STALL_S,
+            lingers_s(kind),
         )
 
     def _checks_fence(self, head: RequestHead) -> bool:
@@ -139,10 +136,6 @@
         service = configuration and configuration.services_by_name.get(head.service)
         return bool(service and service.checks_fence)
 
-    def _declare(self) -> None:
-        if self._state.configuration is not None:
-            self._journal.declare(_windows_of(self._state.configuration))
-
     def _may_act(self, shard: ShardId) -> bool:
         fence = self._authority.permit(shard)
         return not isinstance(fence, NotRunReason) and self._scopes.is_open_under(shard, fence)
@@ -152,23 +145,6 @@
         self._ledger.close_all()
 
 
-def _windows_of(configuration: Configuration) -> dict[ServiceName, float]:
-    """Return the longest resend window of each service that goes on in a store outage."""
-    windows: dict[ServiceName, float] = {}
-    for name, service in configuration.services_by_name.items():
-        if not service.checks_fence:
-            continue
-        for kind in service.kinds_by_name.values():
-            if not kind.repeatable and kind.store_outage is StoreOutage.CONTINUE:
-                windows[name] = max(_window_s(kind), windows.get(name, 0.0))
-    return windows
-
-
-def _window_s(kind: Kind) -> float:
-    """Return how long an id is remembered, at least while a copy may be on its way."""
-    return max(kind.resend_window_s, kind.deadline_s + STALL_S)
-
-
 def _content(head: RequestHead, first: FirstPart) -> bytes:
     """Return the digest of the request; of a long body, its first part and its length count."""
     body = first.chunk
--- a/libs/once/src/fuchsiawell/once/entries.py
+++ b/libs/once/src/fuchsiawell/once/entries.py
@@ -6,7 +6,8 @@
 from struct import Struct, error
 from typing import TYPE_CHECKING
 
-from fuchsiawell.core import FuchsiawellError, ServiceName
+from fuchsiawell.core import FuchsiawellError
+from fuchsiawell.once.declarations import decode_declarations, encode_declarations
 from fuchsiawell.once.places import PLACE_BYTES
 from fuchsiawell.once.records import FoundIntent
 from fuchsiawell.once.requests import CONTENT_BYTES, IDENTITY_BYTES
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from fuchsiawell.core import ShardId
+
 __all__ = [
     "ENTRY_BYTES",
     "JournalFormatError",
@@ -24,8 +27,7 @@
 ]
 
 MAGIC = b"fwj1"
-HEADER = Struct(">4s8sQHI")  # magic, writer's nonce, write number, declarations, entries
-DECLARATION = Struct(">HI")  # bytes of the service's name, seconds
+HEADER = Struct(">4s8sQHI")  # magic, writer's nonce, write number, groups, entries
 # Identity, content, place, resend window in seconds.
 ENTRY = Struct(f">{IDENTITY_BYTES}s{CONTENT_BYTES}s{PLACE_BYTES}sI")
 ENTRY_BYTES = ENTRY.size
@@ -41,7 +43,7 @@
 
     nonce: bytes  # of the process that wrote it
     write_number: int
-    unjournaled_s_by_service: dict[ServiceName, float]
+    unjournaled_s_by_shard: dict[ShardId, float]
     intents: tuple[FoundIntent, ...]
 
 
@@ -55,31 +57,24 @@
 def encode_journal(
     nonce: bytes,
     write_number: int,
-    unjournaled_s_by_service: dict[ServiceName, float],
+    unjournaled_s_by_shard: dict[ShardId, float],
     entries: Iterable[bytes],
 ) -> bytes:
     """Return the value to be written; `entries` come from `encode_entry`."""
     body = b"".join(entries)
-    declarations = [
-        DECLARATION.pack(len(name.encode()), _seconds(window_s)) + name.encode()
-        for name, window_s in sorted(unjournaled_s_by_service.items())
-    ]
+    groups, declarations = encode_declarations(unjournaled_s_by_shard)
     count = len(body) // ENTRY_BYTES
-    head = HEADER.pack(MAGIC, nonce, write_number, len(declarations), count)
-    return b"".join((head, *declarations, body))
+    head = HEADER.pack(MAGIC, nonce, write_number, groups, count)
+    return head + declarations + body
 
 
 def decode_journal(value: bytes, peer: str) -> JournalValue:
     """Return the journal that stood under `peer`, or raise `JournalFormatError`."""
     try:
-        magic, nonce, number, declarations, count = HEADER.unpack_from(value)
+        magic, nonce, number, groups, count = HEADER.unpack_from(value)
         if magic != MAGIC:
             raise ValueError(f"starts with {magic!r}")
-        at, windows = HEADER.size, {}
-        for _ in range(declarations):
-            length, window_s = DECLARATION.unpack_from(value, at)
-            at += DECLARATION.size + length
-            windows[ServiceName(value[at - length : at].decode())] = float(window_s)
+        windows, at = decode_declarations(value, HEADER.size, groups)
         if len(value) != at + count * ENTRY_BYTES:
             raise ValueError(f"{len(value)} bytes for {count} entries")
         intents = tuple(
--- a/libs/once/src/fuchsiawell/once/journal.py
+++ b/libs/once/src/fuchsiawell/once/journal.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from fuchsiawell.core import NotRunReason
+from fuchsiawell.once.declarations import Declarations, raise_to
 from fuchsiawell.once.entries import (
     ENTRY_BYTES,
     JournalFormatError,
@@ -24,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from fuchsiawell.core import Clock, ServiceName
+    from fuchsiawell.core import Clock, ShardId
     from fuchsiawell.once.requests import OnceRequest
     from fuchsiawell.platform import Record as StoreRecord
     from fuchsiawell.platform import Store, StoreError, WriteError
@@ -40,7 +41,7 @@
     "journal_prefix",
 ]
 
-HEADER_ROOM_BYTES = 10_000  # kept free for declarations
+HEADER_ROOM_BYTES = 64_000  # kept free for declarations
 
 
 def journal_prefix(cell: str) -> str:
@@ -111,25 +112,23 @@
         key: str,
         nonce: bytes,
         clock: Clock,
-        unjournaled_s_by_service: dict[ServiceName, float] | None = None,
         limits: JournalLimits | None = None,
         on_deposed: Callable[[], None] = lambda: None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
-        """Take 8 random bytes as the process's `nonce`; for the services see `declare`."""
+        """Take 8 random bytes as the process's `nonce`."""
         self._store = store
         self._key = key
         self._nonce = nonce
         self._clock = clock
-        self._wanted = dict(unjournaled_s_by_service or {})
-        self._declared: dict[ServiceName, float] = {}  # stands in the store
+        self._declarations = Declarations(clock)
+        self._seen: dict[str, tuple[Revision, float]] = {}  # other journals, and since when
         self._limits = limits or JournalLimits()
         self._on_deposed = on_deposed
         self._sleep = sleep
         self._entries_by_window: dict[float, dict[bytes, _Entry]] = {}  # each in order of expiry
         self._waiting: dict[bytes, _Entry] = {}
         self._carried: tuple[FoundIntent, ...] = ()
-        self._carried_declared: dict[ServiceName, float] = {}
         self._revision = ABSENT
         self._write_number = 0
         self._next_write_s = clock.monotonic()
@@ -150,8 +149,8 @@
             self._carry(found.ok_value)
         except JournalFormatError as error:
             return Err(error)
-        declared = dict(self._wanted)
-        written = await self._store.put(self._key, self._value(()), self._revision)
+        declared = self._declarations.to_write()
+        written = await self._store.put(self._key, self._value((), declared), self._revision)
         if isinstance(written, Err):
             return written
         self._confirm(written.ok_value.revision, {}, declared)
@@ -170,7 +169,7 @@
             return listed
         if self.state in (JournalState.UNOPENED, JournalState.DEPOSED):
             return Err(JournalFormatError("read journals", self._key, "own journal is not open"))
-        intents, windows = list(self._carried), dict(self._carried_declared)
+        intents, windows = list(self._carried), self._declarations.carried()
         for record in listed.ok_value:
             if record.key == self._key:
                 continue
@@ -178,8 +177,10 @@
                 journal = decode_journal(record.value, record.key)
             except JournalFormatError as error:
                 return Err(error)
-            intents.extend(journal.intents)
-            _merge(windows, journal.unjournaled_s_by_service)
+            age_s = self._unchanged_s(record)
+            intents.extend(i for i in journal.intents if age_s < i.resend_window_s)
+            declared = journal.unjournaled_s_by_shard.items()
+            windows = raise_to(windows, {shard: s for shard, s in declared if age_s < s})
         return Ok(JournalsRead(started_s, tuple(intents), windows))
 
     async def record(self, request: OnceRequest) -> JournalAnswer:
@@ -195,14 +196,14 @@
             return Unjournaled()
         return NotRecorded(NotRunReason.JOURNAL_UNAVAILABLE)
 
-    def declare(self, unjournaled_s_by_service: dict[ServiceName, float]) -> None:
-        """Name the services that go on in an outage, with their longest resend window.
+    def declare(self, unjournaled_s_by_shard: dict[ShardId, float]) -> None:
+        """Name the shards led now that go on in an outage, with their longest resend window.
 
         A successor answers unknown for that long after an unclean loss, so they go on only once
-        this stands in the store. A declaration ends with the process.
+        this stands in the store.
         """
-        _merge(self._wanted, unjournaled_s_by_service)
-        if self._wanted != self._declared and self.state is JournalState.READY:
+        self._declarations.lead(unjournaled_s_by_shard)
+        if self._declarations.pending and self.state is JournalState.READY:
             self._wake()
 
     def retract(self, identity: bytes) -> None:
@@ -220,6 +221,14 @@
 
     # -- private -------------------------------------------------------------------------------
 
+    def _unchanged_s(self, record: StoreRecord) -> float:
+        """Return for how long, at least, another journal has not been written."""
+        now_s = self._clock.monotonic()
+        seen = self._seen.get(record.key)
+        if seen is None or seen[0] != record.revision:
+            self._seen[record.key] = seen = (record.revision, now_s)
+        return now_s - seen[1]
+
     def _refusal(self, request: OnceRequest) -> JournalAnswer | None:
         match self.state:
             case JournalState.UNOPENED | JournalState.DEPOSED:
@@ -240,10 +249,9 @@
         return None
 
     def _may_go_on(self, request: OnceRequest) -> bool:
-        declared_s = self._declared.get(request.service, 0.0)
         return (
             request.on_outage is OutagePolicy.GO_ON
-            and request.resend_window_s <= declared_s
+            and self._declarations.covers(request.shard, request.resend_window_s)
             and self.state in (JournalState.READY, JournalState.DOWN)
         )
 
@@ -263,7 +271,7 @@
             self._flusher = asyncio.create_task(self._flush())
 
     async def _flush(self) -> None:
-        while self._waiting or self._wanted != self._declared or self.state is JournalState.DOWN:
+        while self._waiting or self._declarations.pending or self.state is JournalState.DOWN:
             await self._pace()
             batch = dict(self._waiting)
             self._waiting.clear()
@@ -282,8 +290,8 @@
     async def _write(self, batch: dict[bytes, _Entry]) -> bool:
         self._drop_expired()
         entries = tuple(entry.encoded for entry in batch.values())
-        declared = dict(self._wanted)
-        value = self._value(entries)
+        declared = self._declarations.to_write()
+        value = self._value(entries, declared)
         written = await self._store.put(self._key, value, self._revision)
         if isinstance(written, Ok):
             self._confirm(written.ok_value.revision, batch, declared)
@@ -313,7 +321,7 @@
             self._on_deposed()
             return False
         if current.value == value:
-            self._confirm(current.revision, batch, self._declared)
+            self._confirm(current.revision, batch, {})  # declared again with the next write
             return True
         self._revision = current.revision
         return False
@@ -325,10 +333,10 @@
             return False
 
     def _confirm(
-        self, revision: Revision, batch: dict[bytes, _Entry], declared: dict[ServiceName, float]
+        self, revision: Revision, batch: dict[bytes, _Entry], declared: dict[ShardId, float]
     ) -> None:
         self._revision = revision
-        self._declared = declared
+        self._declarations.confirm(declared)
         self.state = JournalState.READY
         self.writes += 1
         for identity, entry in batch.items():
@@ -344,14 +352,13 @@
                 entry.durable.set_result(NotRecorded(NotRunReason.JOURNAL_UNAVAILABLE))
         self._waiting.clear()
 
-    def _value(self, added: tuple[bytes, ...]) -> bytes:
+    def _value(self, added: tuple[bytes, ...], declared: dict[ShardId, float]) -> bytes:
         self._write_number += 1
         kept = (
             entry.encoded
             for entries in self._entries_by_window.values()
             for entry in entries.values()
         )
-        declared = _merge(dict(self._carried_declared), self._wanted)
         return encode_journal(self._nonce, self._write_number, declared, (*kept, *added))
 
     def _keep(self, identity: bytes, entry: _Entry) -> None:
@@ -384,14 +391,5 @@
             self._keep(intent.identity, entry)
         self._carried = journal.intents
         if journal.nonce != self._nonce:
-            self._carried_declared = journal.unjournaled_s_by_service
+            self._declarations.carry(journal.unjournaled_s_by_shard)
         self._revision = found.revision
-
-
-def _merge(
-    windows: dict[ServiceName, float], other: dict[ServiceName, float]
-) -> dict[ServiceName, float]:
-    """Raise each window to the longer of both, and return the first."""
-    for service, window_s in other.items():
-        windows[service] = max(window_s, windows.get(service, 0.0))
-    return windows
--- a/libs/once/src/fuchsiawell/once/ledger.py
+++ b/libs/once/src/fuchsiawell/once/ledger.py
@@ -63,8 +63,8 @@
     max_records: int = 40_000  # received, running, ended and found in journals
     max_refused: int = 10_000  # beyond those, of ids refused because of that bound
     max_answer_bytes: int = 8_000_000  # bodies beyond are dropped, oldest first; the fact stays
-    issued_use_s: float = 900.0  # an issued id starts no work later than this
-    issued_resend_s: float = 900.0  # and is remembered for this long after
+    issued_use_s: float = 300.0  # an issued id starts no work later than this
+    issued_resend_s: float = 300.0  # and is remembered for this long after
 
 
 class Ledger:
@@ -187,8 +187,7 @@
         self._add_found(read.intents)
         now_s = self._clock.monotonic()
         for scope in scopes:
-            window_s = read.unjournaled_s_by_service.get(scope.shard.service, 0.0)
-            self._open(scope, (), now_s + window_s)
+            self._open(scope, (), now_s + read.unjournaled_s(scope))
 
     def accept(self, given: HandOver, scope_by_old: dict[Scope, Scope] | None = None) -> None:
         """Open scopes with all that their earlier leader knew.
--- a/libs/once/src/fuchsiawell/once/records.py
+++ b/libs/once/src/fuchsiawell/once/records.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from fuchsiawell.core import NotRunReason, ServiceName, ShardId
+    from fuchsiawell.core import NotRunReason, ShardId
     from fuchsiawell.once.minted import Tenure, TenureSet
     from fuchsiawell.once.places import Places
 
@@ -187,7 +187,18 @@
 
     started_s: float
     intents: tuple[FoundIntent, ...] = ()
-    unjournaled_s_by_service: dict[ServiceName, float] = field(default_factory=dict)
+    unjournaled_s_by_shard: dict[ShardId, float] = field(default_factory=dict)
+
+    def unjournaled_s(self, scope: Scope) -> float:
+        """Return for how long earlier leaders may have run any free-form id of the scope.
+
+        A single key may have been in any shard of its service.
+        """
+        if scope.key is None:
+            return self.unjournaled_s_by_shard.get(scope.shard, 0.0)
+        service = scope.shard.service
+        windows = self.unjournaled_s_by_shard.items()
+        return max((s for shard, s in windows if shard.service == service), default=0.0)
 
     def only(self, places: Places) -> JournalsRead:
         """Return the same without intents of keys that lie elsewhere."""
--- a/libs/once/src/fuchsiawell/once/requests.py
+++ b/libs/once/src/fuchsiawell/once/requests.py
@@ -67,6 +67,11 @@
     attempt: Attempt = Attempt.UNMARKED
     lingers_s: float = 15.0  # how long an earlier copy may be on its way: longest deadline + stall
 
+    def __post_init__(self) -> None:
+        """Refuse content that no journal could hold."""
+        if len(self.content) != CONTENT_BYTES:
+            raise ValueError(f"content of {len(self.content)} bytes is not a digest")
+
     @property
     def quiet_s(self) -> float:
         """Return for how long a refusal told to the caller must hold for every copy."""
--- a/libs/once/tests/test_journal.py
+++ b/libs/once/tests/test_journal.py
@@ -47,6 +47,7 @@
     from collections.abc import Coroutine
 
 DROPS = ServiceName("dropline")
+SHARD = ShardId(DROPS, 3)
 UNAVAILABLE = NotRecorded(NotRunReason.JOURNAL_UNAVAILABLE)
 
 
@@ -89,10 +90,11 @@
 
 def test_a_journal_survives_its_encoding() -> None:
     intent = FoundIntent(b"i" * 16, b"c" * 8, place_of("pen-4"), 600.0)
-    value = encode_journal(b"n" * 8, 7, {DROPS: 60.0}, [encode_entry(intent)])
+    windows = {SHARD: 60.0, ShardId(DROPS, 5): 60.0, ShardId(ServiceName("x"), 0): 9.0}
+    value = encode_journal(b"n" * 8, 7, windows, [encode_entry(intent)])
     decoded = decode_journal(value, "a")
     assert (decoded.nonce, decoded.write_number) == (b"n" * 8, 7)
-    assert (decoded.unjournaled_s_by_service, decoded.intents) == ({DROPS: 60.0}, (intent,))
+    assert (decoded.unjournaled_s_by_shard, decoded.intents) == (windows, (intent,))
     for broken in (b"", value[:-1], value + b"x", b"fwj0" + value[4:]):
         with pytest.raises(JournalFormatError):
             decode_journal(broken, "a")
@@ -153,7 +155,9 @@
 def test_outage_refuses_or_goes_on_as_declared() -> None:
     async def main() -> None:
         cell = Cell()
-        journal = await cell.journal("a", unjournaled_s_by_service={DROPS: 600.0})
+        journal = await cell.journal("a")
+        journal.declare({SHARD: 600.0})
+        await asyncio.sleep(1)
         cell.store.plan = RandomFaults(Random(1), 1.0, [Refuse()])
         goes_on = request("r2", on_outage=OutagePolicy.GO_ON)
         assert await journal.record(request("r1")) == UNAVAILABLE
@@ -164,7 +168,26 @@
         await asyncio.sleep(2)
         assert await journal.record(request("r3")) == Recorded()
         read = await cell.read(await cell.journal("z"))
-        assert read.unjournaled_s_by_service == {DROPS: 600.0}
+        assert read.unjournaled_s_by_shard == {SHARD: 600.0}
+
+    in_virtual_time(main())
+
+
+def test_a_declaration_outlasts_leadership_and_process_by_its_window() -> None:
+    async def main() -> None:
+        cell = Cell()
+        journal, other = await cell.journal("a"), await cell.journal("z")
+        journal.declare({SHARD: 60.0})
+        await asyncio.sleep(1)
+        journal.declare({})
+        await journal.record(request("r1"))
+        assert (await cell.read(other)).unjournaled_s_by_shard == {SHARD: 60.0}
+        new = await cell.journal("a", process="2")
+        assert (await cell.read(new)).unjournaled_s_by_shard == {SHARD: 60.0}
+        assert (await cell.read(other)).unjournaled_s_by_shard == {SHARD: 60.0}
+        await asyncio.sleep(61)
+        assert (await cell.read(new)).unjournaled_s_by_shard == {}
+        assert (await cell.read(other)).unjournaled_s_by_shard == {}
 
     in_virtual_time(main())
 
@@ -173,7 +196,8 @@
     async def main() -> None:
         cell = Cell()
         cell.store.plan = RandomFaults(Random(1), 1.0, [Refuse()])
-        journal = Journal(cell.store, "k", b"n" * 8, LoopClock(), {DROPS: 600.0})
+        journal = Journal(cell.store, "k", b"n" * 8, LoopClock())
+        journal.declare({SHARD: 600.0})
         assert isinstance(await journal.open(), Err)
         goes_on = request("r1", on_outage=OutagePolicy.GO_ON)
         assert await journal.record(goes_on) == UNAVAILABLE
--- a/libs/once/tests/test_ledger.py
+++ b/libs/once/tests/test_ledger.py
@@ -48,10 +48,9 @@
         self.ledger.take_over([Scope(SHARD)], NEVER_LED)
         return self
 
-    def after_loss(self, *intents: FoundIntent, **waits: float) -> Host:
+    def after_loss(self, *intents: FoundIntent, wait_s: float = 0.0) -> Host:
         stopped = Stopped(StoppedBy.FENCED, self.clock.monotonic())
-        by_service = {ServiceName(name): wait for name, wait in waits.items()}
-        read = JournalsRead(self.clock.monotonic(), intents, by_service)
+        read = JournalsRead(self.clock.monotonic(), intents, {SHARD: wait_s})
         self.ledger.take_over([Scope(SHARD)], stopped, read)
         return self
 
@@ -128,7 +127,7 @@
 
 
 def test_unjournaled_term_makes_free_form_ids_unknown_for_a_window() -> None:
-    host = Host(b"b").after_loss(dropline=600.0)
+    host = Host(b"b").after_loss(wait_s=600.0)
     asked = replace(request(), on_outage=OutagePolicy.GO_ON)
     assert isinstance(host.ledger.begin(asked), UnknownBefore)
     assert isinstance(host.ledger.begin(request(host.issue())), Run)
