Balancer proposes the controller's own request types

MoveShard, PinKey and UnpinKey of ownership.evidence replace three equal classes here. A joining server's shards count, and are no longer evacuated.

--- a/libs/bench/src/fuchsiawell/bench/policy/balanced.py
+++ b/libs/bench/src/fuchsiawell/bench/policy/balanced.py
@@ -9,7 +9,6 @@
 from fuchsiawell.core import CellName, DaemonId, ServerId, ShardId
 from fuchsiawell.load.balancer import Balancer
 from fuchsiawell.load.cell_load import merge_reports
-from fuchsiawell.load.decisions import Move, Pin, Unpin
 from fuchsiawell.load.placement import evacuate
 from fuchsiawell.load.report import LoadMeter
 from fuchsiawell.load.weights import weights_for
@@ -21,12 +20,13 @@
     ShardRecord,
     ShardState,
 )
+from fuchsiawell.ownership.evidence import MoveShard, PinKey, UnpinKey
 
 if TYPE_CHECKING:
     from fuchsiawell.bench.policy.traces import Trace
     from fuchsiawell.load.cell_load import CellLoad
-    from fuchsiawell.load.decisions import BalanceDecision
     from fuchsiawell.load.weights import BalanceWeights
+    from fuchsiawell.ownership.evidence import Request
 
 __all__ = ["BalancedMoves"]
 
@@ -118,13 +118,13 @@
         servers = self._assignment.servers_by_id
         servers[_id(server)] = replace(servers[_id(server)], state=state)
 
-    def _apply(self, decision: BalanceDecision, now_s: float) -> None:
+    def _apply(self, decision: Request, now_s: float) -> None:
         match decision:
-            case Move(shard, to):
+            case MoveShard(shard, to):
                 self._move_shard(shard, to, now_s)
-            case Pin(_, key, to):
+            case PinKey(_, key, to):
                 self._pin(self._key_by_name[key], to, now_s)
-            case Unpin(_, key):
+            case UnpinKey(_, key):
                 self._unpin(self._key_by_name[key])
 
     def _move_shard(self, shard: ShardId, to: ServerId, now_s: float) -> None:
--- a/libs/load/src/fuchsiawell/load/__init__.py
+++ b/libs/load/src/fuchsiawell/load/__init__.py
@@ -17,7 +17,6 @@
 from fuchsiawell.load.balancer import Balancer
 from fuchsiawell.load.cell_load import CellLoad, merge_reports
 from fuchsiawell.load.coalesce import Coalescer
-from fuchsiawell.load.decisions import BalanceDecision, Move, Pin, Unpin
 from fuchsiawell.load.placement import evacuate
 from fuchsiawell.load.report import (
     HotKey,
@@ -35,7 +34,6 @@
 __all__ = [
     "Admission",
     "Admit",
-    "BalanceDecision",
     "BalanceWeights",
     "Balancer",
     "CellLoad",
@@ -49,8 +47,6 @@
     "LoadMeter",
     "LoadReport",
     "LoadReportFormatError",
-    "Move",
-    "Pin",
     "Progress",
     "QueueSettings",
     "Queued",
@@ -60,7 +56,6 @@
     "ShedCause",
     "ShedEntry",
     "UNAVAILABLE_FIRST",
-    "Unpin",
     "decode_load_report",
     "encode_load_report",
     "evacuate",
--- a/libs/load/src/fuchsiawell/load/balancer.py
+++ b/libs/load/src/fuchsiawell/load/balancer.py
@@ -7,18 +7,18 @@
 
 from fuchsiawell.core import shard_of
 from fuchsiawell.load.budget import Budget
-from fuchsiawell.load.decisions import Move, Pin, Unpin
 from fuchsiawell.load.report import HALF_LIFE_S
 from fuchsiawell.load.service_view import ServiceView
 from fuchsiawell.ownership.assignment import ShardState
+from fuchsiawell.ownership.evidence import MoveShard, PinKey, UnpinKey
 
 if TYPE_CHECKING:
     from fuchsiawell.core import ServerId, ServiceName, ShardId
     from fuchsiawell.load.cell_load import CellLoad
-    from fuchsiawell.load.decisions import BalanceDecision
     from fuchsiawell.load.service_view import Unit
     from fuchsiawell.load.weights import BalanceWeights
     from fuchsiawell.ownership.assignment import Assignment
+    from fuchsiawell.ownership.evidence import Request
 
 __all__ = ["Balancer", "ServiceBalancer"]
 
@@ -61,9 +61,7 @@
             for service, weights in weights_by_service.items()
         }
 
-    def propose(
-        self, load: CellLoad, assignment: Assignment, now_s: float
-    ) -> list[BalanceDecision]:
+    def propose(self, load: CellLoad, assignment: Assignment, now_s: float) -> list[Request]:
         """Return what is worth doing now; each decision stands alone and may be dropped."""
         return [
             decision
@@ -90,7 +88,7 @@
 
     def propose(
         self, service: ServiceName, load: CellLoad, assignment: Assignment, now_s: float
-    ) -> list[BalanceDecision]:
+    ) -> list[Request]:
         """Return what is worth doing now for `service`."""
         corrected = self._correct(load, assignment, now_s)
         view = ServiceView(service, assignment, corrected)
@@ -110,8 +108,8 @@
             return True
         return now_s - self._over_since_s >= self._weights.sustain_s
 
-    def _level(self, view: ServiceView, now_s: float) -> list[BalanceDecision]:
-        decisions: list[BalanceDecision] = []
+    def _level(self, view: ServiceView, now_s: float) -> list[Request]:
+        decisions: list[Request] = []
         pins_left = MAX_PINS - sum(1 for _ in view.pins())
         while len(decisions) < MAX_STEPS and view.imbalance() > self._weights.settled:
             choice = self._best(view, pins_left > 0)
@@ -122,7 +120,7 @@
                 break
             view.apply(choice.unit, choice.source, choice.target)
             decision = _decision(choice)
-            if isinstance(decision, Pin):
+            if isinstance(decision, PinKey):
                 pins_left -= 1
                 self._remember(choice, decision, now_s)
             decisions.append(decision)
@@ -159,9 +157,9 @@
 
     def _cool(
         self, view: ServiceView, assignment: Assignment, load: CellLoad, now_s: float
-    ) -> list[BalanceDecision]:
+    ) -> list[Request]:
         """Send keys that have cooled back home, then unpin them."""
-        decisions: list[BalanceDecision] = []
+        decisions: list[Request] = []
         slots = sum(view.slots_by_server.values()) / len(view.slots_by_server)
         limit = COOL_LOAD * view.mean_load() * slots
         for key, shard in view.pins():
@@ -172,11 +170,11 @@
             if now_s - since_s < COOL_S:
                 continue
             decision = _homeward(assignment, view.service, key, shard)
-            if isinstance(decision, Unpin) or (decision and self._key_moves.take(now_s)):
+            if isinstance(decision, UnpinKey) or (decision and self._key_moves.take(now_s)):
                 decisions.append(decision)
         return decisions
 
-    def _remember(self, choice: _Choice, pin: Pin, now_s: float) -> None:
+    def _remember(self, choice: _Choice, pin: PinKey, now_s: float) -> None:
         transfer = _Transfer(pin.service, pin.key, choice.unit.shard, choice.unit.busy, now_s)
         self._transfers.append(transfer)
 
@@ -203,16 +201,16 @@
     return min(1.0, max(MIN_RELUCTANCE, (OVERLOAD - load) / (OVERLOAD - PRESSURE)))
 
 
-def _decision(choice: _Choice) -> Move | Pin:
+def _decision(choice: _Choice) -> MoveShard | PinKey:
     unit = choice.unit
     if unit.key is None:
-        return Move(unit.shard, choice.target)
-    return Pin(unit.shard.service, unit.key, choice.target)
+        return MoveShard(unit.shard, choice.target)
+    return PinKey(unit.shard.service, unit.key, choice.target)
 
 
 def _homeward(
     assignment: Assignment, service: ServiceName, key: str, pin: ShardId
-) -> Move | Unpin | None:
+) -> MoveShard | UnpinKey | None:
     home = shard_of(service, key, assignment.shard_count_by_service[service])
     home_record = assignment.shards_by_id.get(home)
     pin_record = assignment.shards_by_id.get(pin)
@@ -221,5 +219,5 @@
     if {home_record.state, pin_record.state} != {ShardState.ASSIGNED}:
         return None
     if home_record.owner == pin_record.owner:
-        return Unpin(service, key)
-    return Move(pin, home_record.owner)
+        return UnpinKey(service, key)
+    return MoveShard(pin, home_record.owner)
--- a/libs/load/src/fuchsiawell/load/placement.py
+++ b/libs/load/src/fuchsiawell/load/placement.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiawell.load.decisions import Move
 from fuchsiawell.load.service_view import ServiceView, Unit
 from fuchsiawell.ownership.assignment import ServerState, ShardState
+from fuchsiawell.ownership.evidence import MoveShard
 
 if TYPE_CHECKING:
     from fuchsiawell.core import ServiceName, ShardId
@@ -16,13 +16,13 @@
 __all__ = ["evacuate"]
 
 
-def evacuate(load: CellLoad, assignment: Assignment) -> list[Move]:
+def evacuate(load: CellLoad, assignment: Assignment) -> list[MoveShard]:
     """Return a move to the idlest active server for each shard that needs one, busiest first.
 
     One batch, whatever was lost: a server, a zone. It spends no budget, as these shards are out
     of service or about to be.
     """
-    moves: list[Move] = []
+    moves: list[MoveShard] = []
     for service in assignment.shard_count_by_service:
         view = ServiceView(service, assignment, load)
         if not view.busy_by_server:
@@ -33,7 +33,7 @@
         for busy, shard in sorted(homeless, key=lambda item: (-item[0], item[1])):
             target = view.idlest_first()[0]
             view.apply(Unit(shard, None, max(busy, least)), None, target)
-            moves.append(Move(shard, target))
+            moves.append(MoveShard(shard, target))
     return moves
 
 
@@ -51,4 +51,4 @@
     if record.state is ShardState.MOVING:
         return False
     owner = None if record.owner is None else assignment.servers_by_id.get(record.owner)
-    return owner is None or owner.state is not ServerState.ACTIVE
+    return owner is None or owner.state in (ServerState.DRAINING, ServerState.LOST)
--- a/libs/load/src/fuchsiawell/load/service_view.py
+++ b/libs/load/src/fuchsiawell/load/service_view.py
@@ -16,6 +16,8 @@
 
 __all__ = ["ServiceView", "Unit"]
 
+SERVING = (ServerState.ACTIVE, ServerState.JOINING)
+
 
 @dataclass(frozen=True, slots=True)
 class Unit:
@@ -40,7 +42,7 @@
         self._servers = [
             server
             for server in assignment.servers_by_id.values()
-            if server.service == service and server.state is ServerState.ACTIVE
+            if server.service == service and server.state in SERVING
         ]
         self.slots_by_server = {
             server.id: max(1, load.slots_by_server.get(server.id, 1)) for server in self._servers
--- a/libs/load/tests/test_balancer.py
+++ b/libs/load/tests/test_balancer.py
@@ -6,7 +6,6 @@
 from fuchsiawell.core import CellName, DaemonId, ServerId, ServiceName, ShardId, shard_of
 from fuchsiawell.load.balancer import COOL_S, Balancer
 from fuchsiawell.load.cell_load import CellLoad, merge_reports
-from fuchsiawell.load.decisions import BalanceDecision, Move, Pin, Unpin
 from fuchsiawell.load.placement import evacuate
 from fuchsiawell.load.report import HotKey, LoadReport, ServerLoad, ShardLoad
 from fuchsiawell.load.service_view import ServiceView
@@ -19,6 +18,7 @@
     ShardRecord,
     ShardState,
 )
+from fuchsiawell.ownership.evidence import MoveShard, PinKey, Request, UnpinKey
 
 SERVICE = ServiceName("penwatch")
 ZONES = ("lautoka", "saweni", "vuda")
@@ -70,9 +70,7 @@
     return shard
 
 
-def propose_later(
-    balancer: Balancer, load: CellLoad, assignment: Assignment
-) -> list[BalanceDecision]:
+def propose_later(balancer: Balancer, load: CellLoad, assignment: Assignment) -> list[Request]:
     assert balancer.propose(load, assignment, 0.0) == []
     return balancer.propose(load, assignment, IMBALANCE_FIRST.sustain_s)
 
@@ -90,7 +88,7 @@
     busy = dict.fromkeys(range(16), 0.3) | {0: 0.6, 4: 0.6, 1: 0.1}
     balancer = Balancer({SERVICE: IMBALANCE_FIRST}, 0.0)
     decisions = propose_later(balancer, load_of(assignment, busy), assignment)
-    assert decisions[0] == Move(shard_id(8), server_id(1))
+    assert decisions[0] == MoveShard(shard_id(8), server_id(1))
 
 
 def test_pins_a_hot_key_apart_rather_than_move_its_shard() -> None:
@@ -101,7 +99,7 @@
     busy = dict.fromkeys(range(16), 0.3) | {home.index: 1.1}
     load = load_of(assignment, busy, {key: 0.5})
     decisions = propose_later(Balancer({SERVICE: IMBALANCE_FIRST}, 0.0), load, assignment)
-    assert isinstance(decisions[0], Pin)
+    assert isinstance(decisions[0], PinKey)
     assert decisions[0].key == key
     assert decisions[0].to != server_id(owner)
 
@@ -112,7 +110,7 @@
     load = load_of(assignment, dict.fromkeys(range(16), 0.2) | {pinned.index: 3.5})
     decisions = Balancer({SERVICE: IMBALANCE_FIRST}, 0.0).propose(load, assignment, 0.0)
     assert decisions
-    assert all(isinstance(d, Move) and d.shard.index % 4 == 0 for d in decisions)
+    assert all(isinstance(d, MoveShard) and d.shard.index % 4 == 0 for d in decisions)
     assert pinned not in {decision.shard for decision in decisions}
     view = ServiceView(SERVICE, assignment, load)
     assert view.reference_load() == 3.5 / 4
@@ -146,7 +144,7 @@
     decisions = propose_later(Balancer({SERVICE: IMBALANCE_FIRST}, 0.0), load, assignment)
     assert decisions
     for decision in decisions:
-        assert isinstance(decision, Move)
+        assert isinstance(decision, MoveShard)
         assert decision.to != server_id(1)
         assert decision.shard not in (shard_id(0), shard_id(4))
 
@@ -159,10 +157,10 @@
     load = load_of(assignment, dict.fromkeys(range(16), 0.3))
     balancer = Balancer({SERVICE: IMBALANCE_FIRST}, 0.0)
     assert balancer.propose(load, assignment, 0.0) == []
-    assert balancer.propose(load, assignment, COOL_S) == [Move(pinned, server_id(home_owner))]
+    assert balancer.propose(load, assignment, COOL_S) == [MoveShard(pinned, server_id(home_owner))]
     owned = ShardRecord(server_id(home_owner), 2, ShardState.ASSIGNED)
     assignment.shards_by_id[pinned] = owned
-    assert balancer.propose(load, assignment, COOL_S + 1) == [Unpin(SERVICE, key)]
+    assert balancer.propose(load, assignment, COOL_S + 1) == [UnpinKey(SERVICE, key)]
 
 
 def test_a_fresh_pin_is_not_mistaken_for_a_cold_key() -> None:
@@ -172,12 +170,12 @@
     busy = dict.fromkeys(range(16), 0.3) | {home.index: 1.1}
     load = load_of(assignment, busy, {key: 0.4})
     balancer = Balancer({SERVICE: IMBALANCE_FIRST}, 0.0)
-    pins = [d for d in propose_later(balancer, load, assignment) if isinstance(d, Pin)]
+    pins = [d for d in propose_later(balancer, load, assignment) if isinstance(d, PinKey)]
     assert len(pins) == 1
     pinned = pin(assignment, key, int(pins[0].to[1:]))
     # The leaders' means still show the key's load under its old shard.
     for later in balancer.propose(load, assignment, IMBALANCE_FIRST.sustain_s + 1):
-        assert isinstance(later, Move)
+        assert isinstance(later, MoveShard)
         assert later.shard not in (home, pinned)
 
 
@@ -194,6 +192,11 @@
     assert evacuate(load_of(assignment, busy), assignment) == []
 
 
+def test_shards_of_a_joining_server_stay() -> None:
+    assignment = cell(3, 30, {0: ServerState.JOINING})
+    assert evacuate(load_of(assignment, {}), assignment) == []
+
+
 def test_shards_of_unknown_load_are_spread_too() -> None:
     assignment = cell(3, 30, {0: ServerState.LOST})
     targets = [move.to for move in evacuate(load_of(assignment, {1: 0.5, 2: 0.5}), assignment)]
