Add the status command

Cause: nobody without training could tell whether a cell needs anything done. Change: fuchsiawell status asks daemons, the store or both; first a verdict with what is not as it should be and what to do, then owners, leaders, terms, versions, load and every daemon. A daemon's /status carries an overview of the record it holds, by the code that counts the store's record. Measured: 78 tests of cli and of the overview pass. Conclusion: a cell can be read at a glance; a run against live daemons follows.

--- a/libs/cli/src/fuchsiawell/cli/run.py
+++ b/libs/cli/src/fuchsiawell/cli/run.py
@@ -11,6 +11,7 @@
 from fuchsiawell.cli.configure import configure, questionnaire
 from fuchsiawell.cli.exits import Exit, fail
 from fuchsiawell.cli.serve import serve
+from fuchsiawell.cli.status import status
 from fuchsiawell.cli.timeline import timeline
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     "configure": configure,
     "accept": accept,
     "serve": serve,
+    "status": status,
     "timeline": timeline,
 }
 
--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from fuchsiawell.daemon.cell_state import CellState
 from fuchsiawell.daemon.control import Control
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
 from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService, OnceService
-from fuchsiawell.daemon.operators import OperatorServer, StatusSource
+from fuchsiawell.daemon.operators import OperatorServer, StatusSource, overview
 from fuchsiawell.daemon.records import RecordReader
 from fuchsiawell.transport import LinkHooks, PeerListener, Peers, open_loopback
 
@@ -116,10 +117,12 @@
         """Return what this daemon knows of itself and its cell."""
         settings = self._context.settings
         control = {} if self.control is None else self.control.status()
+        assignment = self.state.assignment
         return {
             "daemon": settings.daemon,
             "zone": settings.zone,
             "cell": settings.cell,
+            "overview": None if assignment is None else asdict(overview(assignment)),
             **control,
         }
 
--- a/libs/daemon/src/fuchsiawell/daemon/operators/__init__.py
+++ b/libs/daemon/src/fuchsiawell/daemon/operators/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from fuchsiawell.daemon.operators.app import OperatorServer, StatusSource
+from fuchsiawell.daemon.operators.overview import Overview, ServerRow, ServiceRow, overview
 
-__all__ = ["OperatorServer", "StatusSource"]
+__all__ = ["OperatorServer", "Overview", "ServerRow", "ServiceRow", "StatusSource", "overview"]
