--- a/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
@@ -92,9 +92,11 @@
             return link
         exchange = link.open(head, body.first_chunk, body.whole)
         pump = None if body.whole else asyncio.create_task(body.pump(exchange))
+        # A bare timer: `asyncio.timeout` costs several times as much on each request.
+        patience_s = head.deadline_s + LEADER_GRACE_S
+        timer = asyncio.get_running_loop().call_later(patience_s, exchange.time_out)
         try:
-            async with asyncio.timeout(head.deadline_s + LEADER_GRACE_S):
-                reply = await exchange.reply
+            reply = await exchange.reply
         except BodyCutError as error:
             exchange.close()
             return Unknown(Step.FORWARD, error.peer, error.detail)
@@ -104,6 +106,8 @@
         except asyncio.CancelledError:
             exchange.close()
             raise
+        finally:
+            timer.cancel()
         if isinstance(reply, AnswerHead):
             return Reply(reply, exchange)
         exchange.close()
--- a/libs/daemon/src/fuchsiawell/daemon/entry/server.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/server.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from fuchsiawell.daemon.embedded_server import EmbeddedServer
 from fuchsiawell.daemon.entry.asgi import CONNECTION_EXTENSION
+from fuchsiawell.daemon.entry.joining import JoiningTransport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -75,7 +76,7 @@
 
         def connection_made(self, transport: Any) -> None:
             """Refuse the connection when there are too many."""
-            super().connection_made(transport)
+            super().connection_made(cast("asyncio.Transport", JoiningTransport(transport)))
             if len(self.connections) >= limits.max_connections:
                 self._refuse(b"503 Service Unavailable")
                 return
--- a/libs/transport/src/fuchsiawell/transport/exchange.py
+++ b/libs/transport/src/fuchsiawell/transport/exchange.py
@@ -54,6 +54,14 @@
         self._acknowledge(len(chunk))
         return chunk
 
+    def take_body(self) -> bytes:
+        """Return what has been received and not been taken yet, without waiting."""
+        body = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
+        self._chunks.clear()
+        if body:
+            self._acknowledge(len(body))
+        return body
+
     async def send(self, data: bytes, end: bool) -> None:
         """Send a piece of the body, waiting while the receiver's window is full."""
         view = memoryview(data)
@@ -136,19 +144,16 @@
         """Tell whether the end of the answer's body has been received."""
         return self._received_end
 
-    def take_body(self) -> bytes:
-        """Return what has been received and not been taken yet, without waiting."""
-        body = b"".join(self._chunks)
-        self._chunks.clear()
-        if body:
-            self._acknowledge(len(body))
-        return body
-
     def receive_reply(self, reply: AnswerHead | Outcome) -> None:
         """Take the answer's head, or the outcome in its place."""
         if not self.reply.done():
             self.reply.set_result(reply)
 
+    def time_out(self) -> None:
+        """End the wait for the reply with `TimeoutError`."""
+        if not self.reply.done():
+            self.reply.set_exception(TimeoutError())
+
     def cut(self, detail: str) -> None:
         """End the stream; a reply still awaited becomes `BodyCutError`."""
         super().cut(detail)
@@ -170,14 +175,6 @@
         """Tell whether the whole body of the request is here."""
         return self._received_end
 
-    def take_body(self) -> bytes:
-        """Return what has been received and not been taken yet, without waiting."""
-        body = b"".join(self._chunks)
-        self._chunks.clear()
-        if body:
-            self._acknowledge(len(body))
-        return body
-
     def answer(self, head: AnswerHead, chunk: bytes, end: bool) -> None:
         """Send the answer's head with the first piece of its body, at most `CHUNK_BYTES`."""
         self.replied = True
