Tell what is in force already, and shorten what accept shows

Change: rules that are in force already end as "nothing to change", whatever version the file was made from; a service or kind that comes or goes whole is one line. Conclusion: running accept again is safe and says how it stands.

--- a/libs/cli/src/fuchsiawell/cli/accept.py
+++ b/libs/cli/src/fuchsiawell/cli/accept.py
@@ -68,9 +68,8 @@
     if isinstance(prepared, Err):
         return _fail(prepared.err_value)
     plan = prepared.ok_value
-    version = plan.after.version - 1
-    if plan.before is not None and not plan.differences:
-        print(f"Nothing to change: version {version} is in force and says the same.")
+    if not plan.differences:
+        print(f"Nothing to change: version {plan.after.version} is in force and says the same.")
         return Exit.DONE
     _show(plan)
     committed = await commit(store, plan, sleep)
@@ -132,6 +131,8 @@
 def _show(plan: Plan) -> None:
     source = "nothing" if plan.before is None else f"version {plan.before.version}"
     print(f"Cell {plan.after.cell}, from {source} to version {plan.after.version}:")
+    if plan.before is None:
+        print(f"  services: {', '.join(sorted(plan.after.services_by_name))}")
     print(_listed(plan.differences))
     for warning in plan.warnings:
         print(f"  note: {warning}")
--- a/libs/cli/src/fuchsiawell/cli/acceptance.py
+++ b/libs/cli/src/fuchsiawell/cli/acceptance.py
@@ -122,10 +122,13 @@
         return found
     before, revision = found.ok_value
     version = 0 if before is None else before.version
-    if wanted.version != version:
-        return Err(OutOfDate(wanted.version, version, differences(wanted, before)))
     if consent.keep_shards:
         wanted = keep_shard_counts(before, wanted)
+    if before is not None and not differences(before, wanted):
+        # In force already, as when an earlier run lost the answer to its write.
+        return Ok(Plan(before, revision, before, [], []))
+    if wanted.version != version:
+        return Err(OutOfDate(wanted.version, version, differences(wanted, before)))
     reasons = list(refusals(before, wanted, consent))
     if reasons:
         return Err(Refused(reasons))
--- a/libs/cli/src/fuchsiawell/cli/differences.py
+++ b/libs/cli/src/fuchsiawell/cli/differences.py
@@ -14,6 +14,7 @@
 __all__ = ["Difference", "differences"]
 
 ABSENT = "(absent)"
+PRESENT = "(present)"
 SUFFIX = "_by_name"
 
 
@@ -31,27 +32,34 @@
 
 
 def differences(before: Configuration | None, after: Configuration | None) -> list[Difference]:
-    """Return every rule that differs, ordered by place; the version is left out."""
-    old = {} if before is None else dict(_flat(before, ""))
-    new = {} if after is None else dict(_flat(after, ""))
-    return [
-        Difference(place, old.get(place, ABSENT), new.get(place, ABSENT))
-        for place in sorted(old.keys() | new.keys())
-        if old.get(place) != new.get(place) and place != "version"
-    ]
+    """Return every rule that differs, ordered by place; the version is left out.
 
+    What is there on one side only, such as a kind, is one difference.
+    """
+    found = _compare(before, after, "")
+    return sorted((f for f in found if f.place != "version"), key=lambda f: f.place)
 
-def _flat(value: Any, place: str) -> Iterator[tuple[str, str]]:
+
+def _compare(before: Any, after: Any, place: str) -> Iterator[Difference]:
+    if is_dataclass(before) and is_dataclass(after):
+        for field in fields(before):
+            inner = _inside(place, field.name)
+            yield from _compare(getattr(before, field.name), getattr(after, field.name), inner)
+    elif isinstance(before, Mapping) and isinstance(after, Mapping):
+        for name in before.keys() | after.keys():
+            yield from _compare(before.get(name), after.get(name), f"{place}[{name}]")
+    elif before != after:
+        yield Difference(place or "configuration", _shown(before), _shown(after))
+
+
+def _shown(value: Any) -> str:
+    if value is None:
+        return ABSENT
     if is_dataclass(value):
-        for field in fields(value):
-            yield from _flat(getattr(value, field.name), _inside(place, field.name))
-    elif isinstance(value, Mapping):
-        for name, entry in value.items():
-            yield from _flat(entry, f"{place}[{name}]")
-    elif isinstance(value, tuple):
-        yield place, ", ".join(str(entry) for entry in value)
-    else:
-        yield place, str(value)
+        return PRESENT
+    if isinstance(value, tuple):
+        return ", ".join(str(entry) for entry in value)
+    return str(value)
 
 
 def _inside(place: str, name: str) -> str:
--- a/libs/cli/tests/test_acceptance.py
+++ b/libs/cli/tests/test_acceptance.py
@@ -177,8 +177,9 @@
 
 async def test_the_same_rules_again_write_nothing(capsys: pytest.CaptureFixture[str]) -> None:
     store = await store_with(with_slots(4, 1))
-    assert await accept_into(store, with_slots(4, 1), CONSENT, no_sleep) is Exit.DONE
-    assert "Nothing to change" in capsys.readouterr().out
+    for version in (0, 1):
+        assert await accept_into(store, with_slots(4, version), CONSENT, no_sleep) is Exit.DONE
+        assert "Nothing to change: version 1" in capsys.readouterr().out
     assert await in_store(store) == with_slots(4, 1)
 
 
