--- a/libs/cli/src/fuchsiawell/cli/accept.py
+++ b/libs/cli/src/fuchsiawell/cli/accept.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from pathlib import Path  # noqa: TC003 - the argument parser reads the annotations
+from random import Random
 from typing import TYPE_CHECKING
 
 from result import Err, Result
@@ -14,6 +15,7 @@
     NotWritten,
     OutOfDate,
     Refused,
+    Waiting,
     WriteUnknown,
     commit,
     prepare,
@@ -21,11 +23,10 @@
 from fuchsiawell.cli.exits import Exit, fail
 from fuchsiawell.cli.hazards import Consent
 from fuchsiawell.config import address_in, decode_configuration
+from fuchsiawell.core import SystemClock
 from fuchsiawell.platform import HttpStore
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from fuchsiawell.cli.acceptance import Plan
     from fuchsiawell.cli.differences import Difference
     from fuchsiawell.config import Configuration
@@ -61,7 +62,7 @@
     store: Store,
     configuration: Configuration,
     consent: Consent,
-    sleep: Callable[[float], Awaitable[None]],
+    waiting: Waiting,
 ) -> Exit:
     """Show the difference, write it, and print how that ended."""
     prepared = await prepare(store, configuration, consent)
@@ -72,7 +73,7 @@
         print(f"Nothing to change: version {plan.after.version} is in force and says the same.")
         return Exit.DONE
     _show(plan)
-    committed = await commit(store, plan, sleep)
+    committed = await commit(store, plan, waiting)
     if isinstance(committed, Err):
         return _fail(committed.err_value)
     print(f"Accepted: version {committed.ok_value} is in force in the store.")
@@ -123,7 +124,8 @@
 async def _accept_at(address: str, configuration: Configuration, consent: Consent) -> Exit:
     store = HttpStore(address, STORE_TIMEOUT_S)
     try:
-        return await accept_into(store, configuration, consent, asyncio.sleep)
+        waiting = Waiting(SystemClock(), Random(), asyncio.sleep)
+        return await accept_into(store, configuration, consent, waiting)
     finally:
         await store.close()
 
--- a/libs/cli/src/fuchsiawell/cli/acceptance.py
+++ b/libs/cli/src/fuchsiawell/cli/acceptance.py
@@ -10,6 +10,7 @@
 from fuchsiawell.cli.differences import Difference, differences
 from fuchsiawell.cli.hazards import Consent, keep_shard_counts, refusals, warnings
 from fuchsiawell.config import configuration_key, decode_configuration, encode_configuration
+from fuchsiawell.core import Deadline
 from fuchsiawell.platform import (
     ABSENT,
     AnswerLost,
@@ -19,12 +20,15 @@
     Revision,
     Store,
     Unavailable,
+    resolve_put,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from random import Random
 
     from fuchsiawell.config import Configuration
+    from fuchsiawell.core import Clock
 
 __all__ = [
     "AcceptError",
@@ -33,14 +37,23 @@
     "OutOfDate",
     "Plan",
     "Refused",
+    "Waiting",
     "WriteUnknown",
     "commit",
     "in_force",
     "prepare",
 ]
 
-ATTEMPTS = 8  # of a write whose answer was lost, each with a read before it
-PAUSE_S = 0.5  # between them
+PATIENCE_S = 10.0  # for finding out about a write whose answer was lost
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Hold how time passes between tries."""
+
+    clock: Clock
+    random: Random
+    sleep: Callable[[float], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,45 +152,61 @@
 
 
 async def commit(
-    store: Store, plan: Plan, sleep: Callable[[float], Awaitable[None]]
+    store: Store, plan: Plan, waiting: Waiting
 ) -> Result[int, ChangedMeanwhile | NotWritten | WriteUnknown]:
     """Write the plan and return the version in force, only once the store confirmed it."""
     key = configuration_key(plan.after.cell)
-    value = encode_configuration(plan.after)
-    lost: AnswerLost | None = None
-    for attempt in range(ATTEMPTS):
-        if attempt:
-            await sleep(PAUSE_S)
-        match await store.put(key, value, plan.read_at):
-            case Ok(_):
-                return Ok(plan.after.version)
-            case Err(Conflict(current)):
-                return _conflict(plan, value, current, lost)
-            case Err(AnswerLost() as error):
-                lost = error  # the same write again can take effect at most once
-            case Err(Unavailable(step, peer, detail)):
-                if lost is None:
-                    return Err(NotWritten(step, peer, detail))
-            case Err(LeaseLapsed(lease)):
-                return Err(NotWritten("put", key, f"lease {lease} lapsed"))
-    assert lost is not None
-    return Err(WriteUnknown(lost.step, lost.peer, lost.detail))
+    written = await resolve_put(
+        store,
+        key,
+        encode_configuration(plan.after),
+        plan.read_at,
+        Deadline.after(waiting.clock, PATIENCE_S),
+        waiting.clock,
+        waiting.random,
+        sleep=waiting.sleep,
+    )
+    if isinstance(written, Ok):
+        return Ok(plan.after.version)
+    match written.err_value:
+        case Conflict(current):
+            return _conflict(plan, current)
+        case LeaseLapsed(lease):
+            return Err(NotWritten("put", key, f"lease {lease} lapsed"))
+        case Unavailable(step, peer, detail):
+            return Err(NotWritten(step, peer, detail))
+        case AnswerLost() as lost:
+            return await _judge_lost(store, plan, lost)
 
 
 def _conflict(
-    plan: Plan, value: bytes, current: Record | None, lost: AnswerLost | None
+    plan: Plan, current: Record | None
 ) -> Result[int, ChangedMeanwhile | NotWritten | WriteUnknown]:
-    """Tell our own earlier write from another operator's."""
-    if current is not None and current.value == value:
-        return Ok(plan.after.version)
     decoded = Ok(None) if current is None else _decode(current.value)
     if isinstance(decoded, Err):
         return decoded
-    found = decoded.ok_value
+    return _changed(plan, decoded.ok_value)
+
+
+async def _judge_lost(
+    store: Store, plan: Plan, lost: AnswerLost
+) -> Result[int, ChangedMeanwhile | NotWritten | WriteUnknown]:
+    """Tell from the version whether another write came instead of ours, or after it."""
+    unknown = WriteUnknown(lost.step, lost.peer, lost.detail)
+    found = await in_force(store, plan.after)
+    if isinstance(found, Err):
+        return Err(unknown)
+    now, _ = found.ok_value
+    if now == plan.after:
+        return Ok(plan.after.version)
+    # Versions go up by one, so whoever has this one took it in our place.
+    if now is not None and now.version == plan.after.version:
+        return _changed(plan, now)
+    return Err(unknown)
+
+
+def _changed(plan: Plan, found: Configuration | None) -> Result[int, ChangedMeanwhile]:
     version = 0 if found is None else found.version
-    if lost is not None and version > plan.after.version:
-        detail = f"version {version} is in force by now, from another operator"
-        return Err(WriteUnknown(lost.step, lost.peer, detail))
     return Err(ChangedMeanwhile(version, differences(plan.before, found)))
 
 
--- a/libs/cli/tests/test_acceptance.py
+++ b/libs/cli/tests/test_acceptance.py
@@ -1,18 +1,18 @@
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
 
 from fuchsiawell.cli.accept import accept_into
 from fuchsiawell.cli.acceptance import (
-    ATTEMPTS,
     ChangedMeanwhile,
     NotWritten,
     OutOfDate,
     Refused,
+    Waiting,
     WriteUnknown,
     commit,
     in_force,
@@ -33,7 +33,6 @@
 from fuchsiawell.standins.faults import (
     LoseAnswer,
     LoseRequest,
-    NoFault,
     Refuse,
     ScriptedFaults,
     SettableFaults,
@@ -41,6 +40,8 @@
 from fuchsiawell.standins.memory_store import MemoryStore
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from fuchsiawell.standins.faults import Fault
 
 NAME = ServiceName("penwatch")
@@ -48,10 +49,18 @@
 SERVICE = Service(NAME, 128, 4, True, True, Goal.IMBALANCE, kinds_by_name={"level": LEVEL})
 FIRST = Configuration(0, CellName("viti-west"), "fiji", ("vuda",), {NAME: SERVICE})
 CONSENT = Consent()
+MOST_WRITES = 20  # in 10 s with pauses that grow from 25 ms to 1 s at least
+
 
+def waiting(meanwhile: Callable[[], Awaitable[None]] | None = None) -> Waiting:
+    clock = ManualClock()
 
-async def no_sleep(_: float) -> None:
-    await asyncio.sleep(0)
+    async def sleep(seconds: float) -> None:
+        clock.advance(seconds)
+        if meanwhile is not None:
+            await meanwhile()
+
+    return Waiting(clock, Random(1), sleep)
 
 
 def with_slots(slots: int, version: int) -> Configuration:
@@ -72,9 +81,9 @@
 
 async def test_versions_go_up_by_one_from_nothing() -> None:
     store = MemoryStore(ManualClock())
-    assert await accept_into(store, FIRST, CONSENT, no_sleep) is Exit.DONE
+    assert await accept_into(store, FIRST, CONSENT, waiting()) is Exit.DONE
     assert await in_store(store) == replace(FIRST, version=1)
-    assert await accept_into(store, with_slots(5, 1), CONSENT, no_sleep) is Exit.DONE
+    assert await accept_into(store, with_slots(5, 1), CONSENT, waiting()) is Exit.DONE
     assert await in_store(store) == with_slots(5, 2)
 
 
@@ -90,8 +99,8 @@
     store = await store_with(with_slots(4, 1))
     first = (await prepare(store, with_slots(8, 1), CONSENT)).unwrap()
     second = (await prepare(store, with_slots(16, 1), CONSENT)).unwrap()
-    assert (await commit(store, first, no_sleep)).unwrap() == 2
-    error = (await commit(store, second, no_sleep)).unwrap_err()
+    assert (await commit(store, first, waiting())).unwrap() == 2
+    error = (await commit(store, second, waiting())).unwrap_err()
     assert isinstance(error, ChangedMeanwhile)
     assert error.version == 2
     assert [str(change) for change in error.differences] == ["services[penwatch].slots: 4 -> 8"]
@@ -105,7 +114,7 @@
     store = await store_with(with_slots(4, 1))
     plan = (await prepare(store, with_slots(8, 1), CONSENT)).unwrap()
     store.plan = ScriptedFaults(faults, [CallKind.PUT])
-    assert (await commit(store, plan, no_sleep)).unwrap() == 2
+    assert (await commit(store, plan, waiting())).unwrap() == 2
     assert await in_store(store) == with_slots(8, 2)
 
 
@@ -115,11 +124,11 @@
         (await prepare(store, with_slots(slots, 1), CONSENT)).unwrap() for slots in (8, 16)
     ]
 
-    async def meanwhile(_: float) -> None:
-        (await commit(store, theirs, no_sleep)).unwrap()
+    async def meanwhile() -> None:
+        (await commit(store, theirs, waiting())).unwrap()
 
-    store.plan = ScriptedFaults([LoseRequest(), NoFault()], [CallKind.PUT])
-    error = (await commit(store, ours, meanwhile)).unwrap_err()
+    store.plan = ScriptedFaults([LoseRequest(), Refuse()], [CallKind.PUT, CallKind.GET])
+    error = (await commit(store, ours, waiting(meanwhile))).unwrap_err()
     assert isinstance(error, ChangedMeanwhile)
     assert await in_store(store) == with_slots(16, 2)
 
@@ -128,12 +137,12 @@
     store = await store_with(with_slots(4, 1))
     ours = (await prepare(store, with_slots(8, 1), CONSENT)).unwrap()
 
-    async def meanwhile(_: float) -> None:
+    async def meanwhile() -> None:
         plan = (await prepare(store, with_slots(16, 2), CONSENT)).unwrap()
-        (await commit(store, plan, no_sleep)).unwrap()
+        (await commit(store, plan, waiting())).unwrap()
 
-    store.plan = ScriptedFaults([LoseAnswer()], [CallKind.PUT])
-    error = (await commit(store, ours, meanwhile)).unwrap_err()
+    store.plan = ScriptedFaults([LoseAnswer(), Refuse()], [CallKind.PUT, CallKind.GET])
+    error = (await commit(store, ours, waiting(meanwhile))).unwrap_err()
     assert isinstance(error, WriteUnknown)
 
 
@@ -141,7 +150,7 @@
     store = await store_with(with_slots(4, 1))
     store.plan = ScriptedFaults([Refuse()], [CallKind.PUT])
     plan = (await prepare(store, with_slots(8, 1), CONSENT)).unwrap()
-    assert isinstance((await commit(store, plan, no_sleep)).unwrap_err(), NotWritten)
+    assert isinstance((await commit(store, plan, waiting())).unwrap_err(), NotWritten)
     assert await in_store(store) == with_slots(4, 1)
 
 
@@ -152,11 +161,12 @@
     faults = SettableFaults()
     faults.set(LoseRequest(), [CallKind.PUT])
     store.plan = faults
-    assert await accept_into(store, with_slots(8, 1), CONSENT, no_sleep) is Exit.UNKNOWN
+    assert await accept_into(store, with_slots(8, 1), CONSENT, waiting()) is Exit.UNKNOWN
     printed = capsys.readouterr()
     assert "Accepted" not in printed.out
     assert "Outcome unknown" in printed.err
-    assert store.counts.writes == ATTEMPTS + 1
+    assert store.counts.writes <= MOST_WRITES
+    assert await in_store(store) == with_slots(4, 1)
 
 
 async def test_a_store_that_cannot_be_read_is_an_error_with_step_and_peer() -> None:
@@ -178,7 +188,7 @@
 async def test_the_same_rules_again_write_nothing(capsys: pytest.CaptureFixture[str]) -> None:
     store = await store_with(with_slots(4, 1))
     for version in (0, 1):
-        assert await accept_into(store, with_slots(4, version), CONSENT, no_sleep) is Exit.DONE
+        assert await accept_into(store, with_slots(4, version), CONSENT, waiting()) is Exit.DONE
         assert "Nothing to change: version 1" in capsys.readouterr().out
     assert await in_store(store) == with_slots(4, 1)
 
