--- a/libs/cli/src/fuchsiawell/cli/merge.py
+++ b/libs/cli/src/fuchsiawell/cli/merge.py
@@ -20,6 +20,7 @@
 
 __all__ = ["ClockStep", "Filter", "clock_steps", "merge"]
 
+KEY_SEGMENT = 3  # of a path, after the empty one before its first slash
 CLOCK_STEP = timedelta(seconds=1)  # a clock this far back against the order is worth a note
 
 
@@ -38,7 +39,7 @@
     def takes(self, line: LogLine) -> bool:
         """Tell whether the event is chosen."""
         return (
-            (self.key is None or line.names("key", self.key))
+            (self.key is None or self._names_key(line, self.key))
             and (self.request is None or line.names("request", self.request))
             and (self.server is None or self._names_server(line, self.server))
             and (self.daemon is None or line.process == self.daemon)
@@ -47,6 +48,12 @@
             and (self.until is None or line.time <= self.until)
         )
 
+    @staticmethod
+    def _names_key(line: LogLine, key: str) -> bool:
+        # A refused request is logged with its path, /service/kind/key.
+        segments = str(line.fields.get("path", "")).split("/")
+        return line.names("key", key) or segments[KEY_SEGMENT : KEY_SEGMENT + 1] == [key]
+
     @staticmethod
     def _names_server(line: LogLine, server: str) -> bool:
         return line.names("server", server) or line.names("peer", server)
--- a/libs/cli/tests/test_merge.py
+++ b/libs/cli/tests/test_merge.py
@@ -64,11 +64,13 @@
     lines = [
         line("d1", 1, "sent", 1, key="pen-7", request="r1", server="s1"),
         line("d2", 2, "sent", 2, key="pen-8", peer="s1"),
-        line("d2", 3, "lost", 3, server="s2"),
+        line("d2", 3, "lost", 3, server="s2", path="/penwatch/level/pen-9/now"),
     ]
     chosen = {
         Filter(): [1, 2, 3],
         Filter(key="pen-7"): [1],
+        Filter(key="pen-9"): [3],
+        Filter(key="level"): [],
         Filter(request="r1"): [1],
         Filter(server="s1"): [1, 2],
         Filter(daemon="d2"): [2, 3],
--- a/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
@@ -60,7 +60,8 @@
         if unchanged and (not facts or now_s - self._stated_s < STATE_AGAIN_S):
             return
         for fact in facts - self._stated:
-            self._context.log.event("stated", fact=repr(fact))
+            server = getattr(fact, "server", None)
+            self._context.log.event("stated", fact=repr(fact), server=server)
         self._stated, self._stated_s = facts, now_s
         own = self._context.settings.daemon
         self._observer.on_facts(own, facts)
