--- a/libs/standins/src/fuchsiawell/standins/caller.py
+++ b/libs/standins/src/fuchsiawell/standins/caller.py
@@ -54,12 +54,14 @@
 
     status: int
     reason: str
+    step: str  # of the request, at which it was refused
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """Report that the router said the outcome is unknown."""
 
+    step: str
     detail: str
 
 
@@ -187,15 +189,19 @@
 def _judge(answer: Whole) -> CallResult:
     match answer.headers.get(Header.OUTCOME):
         case "not-run":
-            return NotRun(answer.status, _reason(answer.body))
+            page = _page(answer.body)
+            return NotRun(answer.status, page.get("reason", "?"), page.get("step", "?"))
         case "unknown":
-            return Unknown(answer.body.decode(errors="replace"))
+            page = _page(answer.body)
+            return Unknown(page.get("step", "?"), page.get("detail", "?"))
         case _:
             return answer
 
 
-def _reason(body: bytes) -> str:
+def _page(body: bytes) -> dict[str, str]:
+    """Return the fields of the router's own answer, none if it cannot be read."""
     try:
-        return str(json.loads(body)["reason"])
-    except (ValueError, KeyError, TypeError):
-        return "?"
+        fields = json.loads(body)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- a/libs/standins/src/fuchsiawell/standins/demo/load.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/load.py
@@ -206,10 +206,10 @@
             return _check(asked, body)
         case Whole(status):
             return Ending.ERROR, f"status {status}"
-        case NotRun(_, reason):
-            return Ending.NOT_RUN, reason
-        case Unknown(detail):
-            return Ending.UNKNOWN, detail
+        case NotRun(_, reason, step):
+            return Ending.NOT_RUN, f"{reason} at {step}"
+        case Unknown(step, detail):
+            return Ending.UNKNOWN, f"{detail} at {step}"
         case Unsent(detail):
             return Ending.UNSENT, detail
         case Broken(detail):
--- a/libs/standins/src/fuchsiawell/standins/demo/report.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/report.py
@@ -14,7 +14,8 @@
 
 __all__ = ["failure_lines", "phase_table", "verdict_lines"]
 
-SHOWN_FAILURES = 8
+SHOWN_FAILURES = 20
+SHOWN_IDS = 8
 
 
 def phase_table(attempts: Sequence[Attempt], phases: Sequence[Phase]) -> list[str]:
@@ -35,7 +36,7 @@
 def failure_lines(attempts: Sequence[Attempt]) -> list[str]:
     """Return the most common failures by service, kind and cause."""
     causes = Counter(
-        f"{attempt.service}/{attempt.kind} {attempt.ending}: {attempt.detail[:70]}"
+        f"{attempt.service}/{attempt.kind} {attempt.ending}: {attempt.detail[:90]}"
         for attempt in attempts
         if attempt.ending is not Ending.ANSWERED
     )
@@ -55,4 +56,4 @@
 
 
 def _some(ids: Sequence[str]) -> str:
-    return ", ".join(ids[:SHOWN_FAILURES])
+    return ", ".join(ids[:SHOWN_IDS])
--- a/libs/standins/src/fuchsiawell/standins/demo/timeline.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/timeline.py
@@ -18,7 +18,8 @@
 __all__ = ["caller_lines", "recovery_lines"]
 
 TIMEOUT_S = 20.0
-SHOWN_LINES = 24
+SHOWN_LINES = 30
+REQUEST_EVENT = " refused outcome="
 SHOWN_COLUMNS = 150
 
 
@@ -31,10 +32,7 @@
         printed = (await site.run_command("timeline", argv, TIMEOUT_S)).splitlines()
     except SiteError as error:
         printed = [str(error)]
-    lines = [line[:SHOWN_COLUMNS] for line in printed[:SHOWN_LINES]]
-    if len(printed) > SHOWN_LINES:
-        lines.append(f"... and {len(printed) - SHOWN_LINES} events more")
-    return [*caller_lines(phase, attempts), *lines]
+    return [*caller_lines(phase, attempts), *_shortened(printed)]
 
 
 def caller_lines(phase: Phase, attempts: Iterable[Attempt]) -> list[str]:
@@ -56,6 +54,17 @@
     ]
 
 
+def _shortened(printed: list[str]) -> list[str]:
+    """Leave out single requests, which the table counts, and what is over the limit."""
+    events = [line for line in printed if REQUEST_EVENT not in line]
+    lines = [line[:SHOWN_COLUMNS] for line in events[:SHOWN_LINES]]
+    if len(events) > SHOWN_LINES:
+        lines.append(f"... and {len(events) - SHOWN_LINES} events more")
+    if len(events) < len(printed):
+        lines.append(f"({len(printed) - len(events)} refusals of single requests left out)")
+    return lines
+
+
 def _wall_time(at_s: float) -> str:
     """Return a monotonic time of this host as the logs of its processes would write it."""
     at = datetime.now(tz=UTC) - timedelta(seconds=time.monotonic() - at_s)
--- a/libs/standins/tests/test_caller.py
+++ b/libs/standins/tests/test_caller.py
@@ -82,11 +82,11 @@
 
 async def test_what_the_router_says_of_the_outcome_is_told_apart() -> None:
     head = b"HTTP/1.1 503 x\r\ncontent-length: %d\r\nfuchsiawell-outcome: %b\r\n\r\n%b"
-    body = b'{"reason": "shed"}'
+    body = b'{"reason": "shed", "step": "admit"}'
     async with _answering(head % (len(body), b"not-run", body)) as address:
-        assert await Caller(address, 20.0).call(GET) == NotRun(503, "shed")
+        assert await Caller(address, 20.0).call(GET) == NotRun(503, "shed", "admit")
     async with _answering(head % (1, b"unknown", b"?")) as address:
-        assert await Caller(address, 20.0).call(GET) == Unknown("?")
+        assert await Caller(address, 20.0).call(GET) == Unknown("?", "?")
     assert isinstance(await Caller(address, 20.0).call(GET), Unsent)
 
 
