--- a/libs/standins/src/fuchsiawell/standins/demo/__main__.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/__main__.py
@@ -46,23 +46,34 @@
         print(f"[{time.monotonic() - self._started_at_s:5.1f} s] {text}", flush=True)
 
 
-def demo(*, configuration: Path = Path("examples/viti-west/configuration.json")) -> int:
+def demo(
+    *,
+    configuration: Path = Path("examples/viti-west/configuration.json"),
+    logs: Path | None = None,
+) -> int:
     """Run the demo.
 
     The exit status is 0 if every promise was kept, 1 if one was broken, and 2 if the demo could
     not be run to its end.
 
     :param configuration: configuration to put in force
+    :param logs: empty directory in which the logs of all processes are kept
     """
-    with TemporaryDirectory(prefix="fuchsiawell-demo-") as name:
-        directory = Path(name)
-        with ProcessGroup(directory) as group:
-            site = Site(VITI_WEST, group, directory, configuration)
-            try:
-                return asyncio.run(_run(site))
-            except FuchsiawellError as error:
-                print(f"the demo could not go on: {error}", file=sys.stderr)
-                return NOT_RUN_STATUS
+    try:
+        if logs is not None:
+            logs.mkdir(parents=True, exist_ok=True)
+            return _run_in(logs, configuration)
+        with TemporaryDirectory(prefix="fuchsiawell-demo-") as name:
+            return _run_in(Path(name), configuration)
+    except FuchsiawellError as error:
+        print(f"the demo could not go on: {error}", file=sys.stderr)
+        return NOT_RUN_STATUS
+
+
+def _run_in(directory: Path, configuration: Path) -> int:
+    with ProcessGroup(directory) as group:
+        site = Site(VITI_WEST, group, directory, configuration)
+        return asyncio.run(_run(site))
 
 
 async def _run(site: Site) -> int:
@@ -107,7 +118,7 @@
     sections = [
         ("What callers saw", phase_table(attempts, scenario.phases)),
         ("Failures by cause", failure_lines(attempts) or ["none"]),
-        ("Stops that did not end cleanly", scenario.unclean_stops or ["none"]),
+        ("Planned stops", _stop_lines(scenario)),
         ("Time line of the recovery from the killed daemon", timeline),
         ("Against what the backend servers recorded", verdict_lines(verdict)),
     ]
@@ -117,5 +128,11 @@
     return 0 if verdict.kept else BROKEN_STATUS
 
 
+def _stop_lines(scenario: Scenario) -> list[str]:
+    times = [f"{time_s:.1f}" for time_s in scenario.stop_times_s]
+    unclean = ", ".join(scenario.unclean_stops) or "none"
+    return [f"seconds from SIGTERM to the end: {' '.join(times)}", f"not clean: {unclean}"]
+
+
 if __name__ == "__main__":
     sys.exit(defopt.run(demo, argv=sys.argv[1:]))
--- a/libs/standins/src/fuchsiawell/standins/demo/scenario.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/scenario.py
@@ -35,6 +35,7 @@
         self._say = say
         self.phases: list[Phase] = []
         self.unclean_stops: list[str] = []
+        self.stop_times_s: list[float] = []  # from SIGTERM to the end of the process
 
     async def run(self) -> None:
         """Go through every step."""
@@ -100,7 +101,9 @@
         daemon.state = HostState.LEAVING
         await self._site.publish_hosts()
         await asyncio.sleep(LEAVING_S)
+        asked_at_s = time.monotonic()
         status = await self._site.stop_daemon(daemon)
+        self.stop_times_s.append(time.monotonic() - asked_at_s)
         if status != 0:
             self.unclean_stops.append(f"{daemon.id} exit {status}")
         daemon.state = HostState.LIVE
