Send the first part of an upload again only if it is the whole body

Cause: the demo's rolling restart left uploads without an answer for 20 s, and daemons that waited for them. The entry daemon marked a body as whole when its last piece had passed, and read the same mark as 'the first part is the whole body': an upload that was refused after that, as by a leader that had just handed over, was sent again with its first 64 KB as a whole body. With a length the server waits for the rest for ever; in chunks it takes the stump for the whole upload. Change: the end of the caller's body and the wholeness of the first part are two marks.

--- a/libs/daemon/src/fuchsiawell/daemon/entry/body.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/body.py
@@ -32,6 +32,7 @@
         self._own = own
         self._received_bytes = 0
         self.first_chunk = b""
+        self._ended = False  # the caller sent all of it
         self.whole = False  # `first_chunk` is the whole body
 
     async def start(self) -> NotRun | None:
@@ -44,7 +45,7 @@
             return NotRun(NotRunReason.TOO_LARGE, Step.ACCEPT, self._own)
         chunks: list[bytes] = []
         try:
-            while not self.whole and self._received_bytes < CHUNK_BYTES:
+            while not self._ended and self._received_bytes < CHUNK_BYTES:
                 chunks.append(await self._next())
         except TimeoutError:
             return NotRun(NotRunReason.TOO_SLOW, Step.ACCEPT, self._own)
@@ -53,17 +54,18 @@
         if self._received_bytes > self._max_bytes:
             return NotRun(NotRunReason.TOO_LARGE, Step.ACCEPT, self._own)
         self.first_chunk = b"".join(chunks)
+        self.whole = self._ended
         return None
 
     async def pump(self, exchange: ClientExchange) -> None:
         """Send what follows the first part; a body cut by the caller is cut there too."""
         try:
-            while not self.whole:
+            while not self._ended:
                 chunk = await self._next()
                 if self._received_bytes > self._max_bytes:
                     exchange.close()
                     return
-                await exchange.send(chunk, end=self.whole)
+                await exchange.send(chunk, end=self._ended)
         except (BodyCutError, TimeoutError):
             exchange.close()
 
@@ -74,5 +76,5 @@
             raise BodyCutError("read request body", "caller", "the caller went away")
         chunk: bytes = message.get("body", b"")
         self._received_bytes += len(chunk)
-        self.whole = not message.get("more_body", False)
+        self._ended = not message.get("more_body", False)
         return chunk
