Stop servers at once, and close finished streams without an error

Cause: each stop waited for the next of uvicorn's ten looks a second, which also wakes an idle daemon twenty times a second; closing a finished stream built an error that nobody saw. Change: the server's loop waits on an event; a finished stream is only forgotten.

--- a/libs/daemon/src/fuchsiawell/daemon/embedded_server.py
+++ b/libs/daemon/src/fuchsiawell/daemon/embedded_server.py
@@ -50,6 +50,7 @@
     async def stop(self) -> None:
         """Take no new connections, and return when requests in flight have ended."""
         self._server.should_exit = True
+        self._server.leaving.set()
         if self._serving is not None:
             await self._serving
 
@@ -71,12 +72,17 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.accepting = asyncio.Event()
+        self.leaving = asyncio.Event()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Tell when connections are accepted."""
         await super().startup(sockets)
         self.accepting.set()
 
+    async def main_loop(self) -> None:
+        """Wait for the stop without looking ten times a second; nothing else is due."""
+        await self.leaving.wait()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the process's signal handlers alone."""
--- a/libs/transport/src/fuchsiawell/transport/exchange.py
+++ b/libs/transport/src/fuchsiawell/transport/exchange.py
@@ -91,7 +91,9 @@
     def close(self) -> None:
         """Forget the stream, and tell the other end unless both ends had finished."""
         self.link.forget(self.stream)
-        if not (self._received_end and self.sent_end) and self._cut is None:
+        if self._received_end and self.sent_end:
+            return
+        if self._cut is None:
             self.link.send_cancel(self.stream)
         self.cut("closed here")
 
