Balancer: move single keys before shards, and far more of them

A key costs one key of churn, a shard 78: so keys may move 120 times a minute, and triggers may be lower.

--- a/libs/load/src/fuchsiawell/load/balancer.py
+++ b/libs/load/src/fuchsiawell/load/balancer.py
@@ -24,7 +24,7 @@
 
 TARGETS_TRIED = 3  # idlest servers tried for each unit
 MAX_PINS = 256  # of a service; bounds the assignment record
-MAX_STEPS = 32  # decisions for a service in one call
+MAX_STEPS = 64  # decisions for a service in one call
 COOL_LOAD = 0.01  # of a mean server's load, below which a pinned key has cooled
 COOL_S = 60.0  # for which it must stay cool
 PRESSURE = 0.6  # busy share of a server from which queueing grows quickly
@@ -112,12 +112,10 @@
         decisions: list[Request] = []
         pins_left = MAX_PINS - sum(1 for _ in view.pins())
         while len(decisions) < MAX_STEPS and view.imbalance() > self._weights.settled:
-            choice = self._best(view, pins_left > 0)
+            choice = self._best(view, pins_left > 0, now_s)
             if choice is None:
                 break
-            budget = self._key_moves if choice.unit.is_one_key else self._shard_moves
-            if not budget.take(now_s):
-                break
+            self._budget(choice.unit).take(now_s)
             view.apply(choice.unit, choice.source, choice.target)
             decision = _decision(choice)
             if isinstance(decision, PinKey):
@@ -126,9 +124,11 @@
             decisions.append(decision)
         return decisions
 
-    def _best(self, view: ServiceView, may_pin: bool) -> _Choice | None:
-        """Return the best move from the busiest server from which any move is worth its cost."""
-        mean = view.mean_load()
+    def _best(self, view: ServiceView, may_pin: bool, now_s: float) -> _Choice | None:
+        """Return the best move from the busiest server from which any move is worth its cost.
+
+        Moves of one key go before moves of a shard of many, unless the server is overloaded.
+        """
         reference = view.reference_load()
         targets = view.idlest_first()[:TARGETS_TRIED]
         for source in view.busiest_first():
@@ -137,22 +137,27 @@
             choices = [
                 choice
                 for unit in view.units(source)
-                if may_pin or unit.key is None
+                if (may_pin or unit.key is None) and self._budget(unit).has(now_s)
                 for target in targets
                 if target != source
-                and (choice := self._weigh(view, unit, source, target, mean)) is not None
+                and (choice := self._weigh(view, unit, source, target)) is not None
             ]
-            if choices:
+            if choices and view.load(source) >= OVERLOAD:
                 return max(choices, key=lambda choice: choice.score)
+            if choices:
+                return max(choices, key=lambda choice: (choice.unit.is_one_key, choice.score))
         return None
 
+    def _budget(self, unit: Unit) -> Budget:
+        return self._key_moves if unit.is_one_key else self._shard_moves
+
     def _weigh(
-        self, view: ServiceView, unit: Unit, source: ServerId, target: ServerId, mean: float
+        self, view: ServiceView, unit: Unit, source: ServerId, target: ServerId
     ) -> _Choice | None:
         before = view.load(source)
         after = max(view.load_after(source, -unit.busy), view.load_after(target, unit.busy))
         cost = self._weights.key_cost if unit.is_one_key else self._weights.shard_cost
-        score = (before - after) / mean - cost * _reluctance(before)
+        score = (before - after) / view.mean_load() - cost * _reluctance(before)
         return _Choice(unit, source, target, score) if score > 0 else None
 
     def _cool(
--- a/libs/load/src/fuchsiawell/load/budget.py
+++ b/libs/load/src/fuchsiawell/load/budget.py
@@ -13,12 +13,16 @@
         self._left = per_min
         self._filled_s = now_s
 
-    def take(self, now_s: float) -> bool:
-        """Use up one action, or return false if none is left."""
+    def has(self, now_s: float) -> bool:
+        """Tell whether an action is left."""
         refill = (now_s - self._filled_s) / 60 * self._per_min
         self._left = min(self._per_min, self._left + refill)
         self._filled_s = now_s
-        if self._left < 1:
+        return self._left >= 1
+
+    def take(self, now_s: float) -> bool:
+        """Use up one action, or return false if none is left."""
+        if not self.has(now_s):
             return False
         self._left -= 1
         return True
--- a/libs/load/src/fuchsiawell/load/weights.py
+++ b/libs/load/src/fuchsiawell/load/weights.py
@@ -23,21 +23,21 @@
 
 
 IMBALANCE_FIRST = BalanceWeights(
-    trigger=1.10,
-    settled=1.03,
+    trigger=1.08,
+    settled=1.02,
     sustain_s=2.0,
-    key_cost=0.002,
+    key_cost=0.004,
     shard_cost=0.04,
-    key_moves_per_min=40.0,
+    key_moves_per_min=120.0,
     shard_moves_per_min=16.0,
 )
 UNAVAILABLE_FIRST = BalanceWeights(
-    trigger=1.12,
-    settled=1.04,
+    trigger=1.08,
+    settled=1.02,
     sustain_s=2.0,
-    key_cost=0.004,
+    key_cost=0.006,
     shard_cost=0.05,
-    key_moves_per_min=30.0,
+    key_moves_per_min=120.0,
     shard_moves_per_min=16.0,
 )
 
