Balance by default in the daemon

Cause: the balancer existed, and no daemon asked it. Refused work counts as load, slots as the queue uses them now. Below 15% of a server's slots nothing is moved: differences are a few requests of chance. Measured: the daemon's and the load library's tests pass; the effect over real processes is not measured yet.

--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -59,6 +59,7 @@
         if self.control is None:
             self._reader.start()
         else:
+            self.control.balance_by(self._leader.load_report)
             self.control.start()
         self._once.start()
         await self._callers.start()
--- a/libs/daemon/src/fuchsiawell/daemon/control/control.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/control.py
@@ -9,6 +9,7 @@
 
 from fuchsiawell.core import DaemonId, FuchsiawellError
 from fuchsiawell.daemon.control.authority import LeadershipAuthority
+from fuchsiawell.daemon.control.balance_loop import BALANCE_S, BalanceLoop
 from fuchsiawell.daemon.control.controller_loop import DECIDE_S, ControllerLoop
 from fuchsiawell.daemon.control.distribution import Distribution
 from fuchsiawell.daemon.control.leader_loop import LEAD_S, LeaderLoop
@@ -26,8 +27,11 @@
 from fuchsiawell.platform import ENTRY_ROLE, Host
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
+    from fuchsiawell.load import LoadReport
     from fuchsiawell.ownership import Request
     from fuchsiawell.platform import HostList, Store
     from fuchsiawell.transport import Peers
@@ -68,10 +72,15 @@
         self._deciding = ControllerLoop(
             context, state, self.observer, self.records, self._distribution
         )
+        self._balancing = BalanceLoop(context, state, peers, self.ask)
         self._loops = Loops(context.log)
         self._had_right = False
         state.listen(self._on_records)
 
+    def balance_by(self, own_report: Callable[[], LoadReport]) -> None:
+        """Take the load of the servers led here from `own_report`."""
+        self._balancing.own_report = own_report
+
     def start(self) -> None:
         """Begin to take part in the cell."""
         self._loops.every(HOSTS_S, "read hosts", self._read_hosts)
@@ -79,6 +88,7 @@
         self._loops.every(RECORDS_S, "follow records", self._follow_records)
         self._loops.every(DECIDE_S, "decide", self._deciding.step)
         self._loops.every(LEAD_S, "lead", self._leading.step)
+        self._loops.every(BALANCE_S, "balance", self._balancing.step)
 
     async def leave(self) -> None:
         """Hand leadership over before a planned stop, waiting a bounded time for successors."""
@@ -150,6 +160,8 @@
                 self.observer.on_facts(sender, facts_from_wire(body, sender))
             case ControlKind.ASK:
                 self.observer.on_requests(requests_from_wire(body, sender), now_s)
+            case ControlKind.LOAD:
+                self._balancing.on_report(sender, body)
             case ControlKind.WANT:
                 self._distribution.on_want(sender, body)
             case ControlKind.ASSIGNMENT:
--- a/libs/daemon/src/fuchsiawell/daemon/control/wire.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/wire.py
@@ -51,6 +51,7 @@
     WANT = "want"  # revision and version held; the answer is what is newer
     ASSIGNMENT = "assignment"  # revision and record
     CONFIGURATION = "configuration"  # record
+    LOAD = "load"  # a leader's load report to the controller
 
 
 class ControlMessageError(FuchsiawellError):
--- a/libs/daemon/src/fuchsiawell/daemon/leader/gate.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/gate.py
@@ -40,6 +40,14 @@
         """Count the requests that hold a slot."""
         return self._admission.running
 
+    def limit(self) -> int:
+        """Return the slots in use now, fewer than all while the server starts or sheds."""
+        return self._admission.limit(self._clock.monotonic())
+
+    def expected_s(self, kind: str) -> float:
+        """Return how long a request of this kind is expected to hold a slot."""
+        return self._admission.expected_s(kind)
+
     async def enter(self, entry: Entry) -> Shed | None:
         """Wait for a slot; return `None` once it is held, or why the request is refused.
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -93,7 +93,7 @@
     def load_report(self) -> LoadReport:
         """Return the load of the servers that this daemon has sent work to."""
         queues = [
-            (id, lane.gate.slots, lane.gate.queued) for id, lane in self._lanes_by_server.items()
+            (id, lane.gate.limit(), lane.gate.queued) for id, lane in self._lanes_by_server.items()
         ]
         own = self._context.settings.daemon
         return self._meter.report(own, queues, self._context.clock.monotonic())
@@ -188,6 +188,8 @@
     async def _admit(self, work: _Work) -> Outcome | None:
         shed = await work.lane.gate.enter(work.entry)
         if shed is not None:
+            # Refused work counts as load: it shows what was asked of the server.
+            self._record_load(work, work.lane.gate.expected_s(work.entry.kind))
             return NotRun(NotRunReason.SHED, Step.ADMIT, work.server.id, shed.retry_after_s)
         outcome: Outcome | None = None
         try:
@@ -241,7 +243,7 @@
             return None
         finally:
             self._authority.leave(ticket, None if proved else work.deadline.at_s)
-            self._measure(work)
+            self._record_load(work, self._context.clock.monotonic() - work.started_s)
 
     async def _pass_on(self, work: _Work, first: Connection, reply: Received) -> None:
         waited_s = self._context.clock.monotonic() - work.started_s
@@ -262,15 +264,10 @@
             return
         await stream_answer(reply.connection, work.exchange, reply.answer, collected)
 
-    def _measure(self, work: _Work) -> None:
+    def _record_load(self, work: _Work, busy_s: float) -> None:
         now_s = self._context.clock.monotonic()
-        self._meter.record(
-            work.server.id,
-            work.route.shard,
-            work.exchange.head.key,
-            now_s - work.started_s,
-            now_s,
-        )
+        key = work.exchange.head.key
+        self._meter.record(work.server.id, work.route.shard, key, busy_s, now_s)
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/libs/load/src/fuchsiawell/load/balancer.py
+++ b/libs/load/src/fuchsiawell/load/balancer.py
@@ -27,6 +27,7 @@
 MAX_STEPS = 64  # decisions for a service in one call
 COOL_LOAD = 0.01  # of a mean server's load, below which a pinned key has cooled
 COOL_S = 60.0  # for which it must stay cool
+IDLE_LOAD = 0.15  # of the busiest server, below which differences are a few requests of chance
 PRESSURE = 0.6  # busy share of a server from which queueing grows quickly
 OVERLOAD = 0.85  # busy share at which requests miss their deadlines
 MIN_RELUCTANCE = 0.2  # of a move's cost, counted even then
@@ -99,12 +100,13 @@
 
     def _due(self, view: ServiceView, now_s: float) -> bool:
         """Tell whether the imbalance has exceeded the trigger for long enough, or refuses work."""
-        if view.imbalance() < self._weights.trigger:
+        busiest = max(map(view.load, view.busy_by_server))
+        if busiest < IDLE_LOAD or view.imbalance() < self._weights.trigger:
             self._over_since_s = None
             return False
         if self._over_since_s is None:
             self._over_since_s = now_s
-        if max(map(view.load, view.busy_by_server)) >= OVERLOAD:
+        if busiest >= OVERLOAD:
             return True
         return now_s - self._over_since_s >= self._weights.sustain_s
 
--- a/libs/load/tests/test_balancer.py
+++ b/libs/load/tests/test_balancer.py
@@ -122,6 +122,13 @@
     assert Balancer({SERVICE: UNAVAILABLE_FIRST}, 0.0).propose(load, assignment, 0.0)
 
 
+def test_a_nearly_idle_cell_is_left_alone() -> None:
+    assignment = cell(4, 16)
+    load = load_of(assignment, {0: 0.3, 4: 0.2, 1: 0.01})
+    balancer = Balancer({SERVICE: IMBALANCE_FIRST}, 0.0)
+    assert [balancer.propose(load, assignment, float(n)) for n in range(10)] == [[]] * 10
+
+
 def test_the_budget_bounds_the_moves_of_a_minute() -> None:
     assignment = cell(2, 40)
     busy = {index: 0.1 * (1 - index % 2) for index in range(40)}
