Let started uploads go on under a new leader in the backend stand-in

A server starts an upload when it begins to read it; the design lets started work go on under a successor and waits for it in a release.

--- a/libs/standins/src/fuchsiawell/standins/backend/app.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/app.py
@@ -144,6 +144,7 @@
         answer = self.grants.release(model.term, model.shard)
         if isinstance(answer, Accepted):
             await self.worker.wait_until_idle(model.shard)
+            self.grants.released(model.shard)
         return self._grant_response(answer)
 
     async def _tell_clock(self, request: Request) -> Response:
--- a/libs/standins/tests/backend/test_worker.py
+++ b/libs/standins/tests/backend/test_worker.py
@@ -158,6 +158,35 @@
     assert bench.ran() == [("r1", Ending.DONE)]
 
 
+async def test_an_upload_under_way_survives_a_new_leader_and_is_waited_for_by_a_release() -> None:
+    bench = Bench(slots=2)
+    upload = bench.call("r1", body=None)
+    upload.send_body(b"half", more=True)
+    await bench.time.settle()
+    bench.backend.grants.install(4, 60.0, {"penwatch/0": 7})
+    body = b'{"term": 4, "shard": "penwatch/0"}'
+    release = AsgiCall(bench.backend.app, "POST", "/_owner/release", {}, body)
+    await bench.time.run(1.0)
+    late = bench.call("r2", headers={"fuchsiawell-term": "4"})
+    await bench.time.settle()
+    assert (release.status, _refusal(late)) == (None, "fence")
+    upload.send_body(b"rest")
+    await bench.time.run(1.5)
+    assert (upload.status, release.status) == (200, 200)
+    assert bench.ran() == [("r1", Ending.DONE)]
+
+
+@pytest.mark.parametrize("epochs", [{}, {"penwatch/0": 8}])
+async def test_an_upload_whose_shard_left_meanwhile_does_not_run(epochs: dict[str, int]) -> None:
+    bench = Bench()
+    upload = bench.call("r1", body=None)
+    await bench.time.settle()
+    bench.backend.grants.install(4, 60.0, epochs)
+    upload.send_body(b"whole")
+    await bench.time.run(2.0)
+    assert (_refusal(upload), bench.ran()) == ("fence", [])
+
+
 async def test_cancellation_says_how_far_the_work_had_come() -> None:
     bench = Bench()
     done = bench.call("r1")
