Place a starting or waking daemon's lines where they happened

Cause: in a trial with five processes, a restarted daemon's first line stood at the top of the time line, 50 s early, and the clocks of all others were called wrong for it. Change: where a process's count lags far behind what others had by the span on its own clock up to its next line that has caught up, its lines are placed by that span on another process's log. Conclusion: order still follows counts wherever a daemon keeps up.

--- a/libs/cli/src/fuchsiawell/cli/merge.py
+++ b/libs/cli/src/fuchsiawell/cli/merge.py
@@ -12,6 +12,8 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from fuchsiawell.cli.stale import Counted, Curve, catch_up
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
     from datetime import datetime
@@ -74,15 +76,17 @@
 
 def merge(logs: Iterable[list[LogLine]]) -> list[LogLine]:
     """Return all events in one order, from logs that are each in their process's order."""
-    counted: list[tuple[int, datetime, str, int, LogLine]] = []
-    for process, lines in _by_process(logs):
-        counted += [
-            (count, line.time, process, place, line)
-            for place, (count, line) in enumerate(_counted(lines))
+    counted = {process: _counted(lines) for process, lines in _by_process(logs)}
+    entries: list[tuple[float, datetime, str, int, LogLine]] = []
+    for process, events in counted.items():
+        placed = catch_up(events, _curves_besides(process, counted))
+        entries += [
+            (event.count, event.line.time, process, place, event.line)
+            for place, event in enumerate(placed)
         ]
     # The place keeps a process's own order where count and time are equal.
-    counted.sort(key=lambda entry: entry[:4])
-    return [line for *_, line in counted]
+    entries.sort(key=lambda entry: entry[:4])
+    return [line for *_, line in entries]
 
 
 def clock_steps(lines: Iterable[LogLine]) -> list[ClockStep]:
@@ -108,9 +112,17 @@
         yield process, list(group)
 
 
-def _counted(lines: list[LogLine]) -> Iterator[tuple[int, LogLine]]:
+def _counted(lines: list[LogLine]) -> list[Counted]:
     """Count on where a restarted process began at zero again, so that its order is kept."""
+    counted: list[Counted] = []
     last = -1
     for line in lines:
         last = max(last + 1, line.lamport)
-        yield last, line
+        counted.append(Counted(last, line))
+    return counted
+
+
+def _curves_besides(process: str, counted: dict[str, list[Counted]]) -> list[Curve]:
+    """Return the curves of the other processes, the one with most events first."""
+    others = [events for name, events in counted.items() if name != process]
+    return [Curve(events) for events in sorted(others, key=len, reverse=True)]
