Look at the fence again before a second copy is sent

Cause: found on reading: the copy that goes round a silent connection was sent after an await with the fence of the first; a key that had moved meanwhile would have had its work at two servers, which a server that does not check the fence would have run. Change: the copy asks the authority for the very fence after its connection is open.

--- a/libs/daemon/src/fuchsiawell/daemon/leader/attempt.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/attempt.py
@@ -13,6 +13,8 @@
 from fuchsiawell.daemon.leader.sending import begin_request, judge, receive_answer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiawell.core import Outcome
     from fuchsiawell.daemon.leader.connection import Connection
     from fuchsiawell.daemon.leader.lane import Lane
@@ -39,7 +41,15 @@
     answered while the old one is silent makes the whole pool of older connections suspect.
     """
 
-    def __init__(self, lane: Lane, exchange: ServerExchange, first: FirstPart) -> None:
+    def __init__(
+        self,
+        lane: Lane,
+        exchange: ServerExchange,
+        first: FirstPart,
+        may_copy: Callable[[], bool],
+    ) -> None:
+        """`may_copy` tells whether the fence that the request is sent with is still in force."""
+        self._may_copy = may_copy
         self._lane = lane
         self._exchange = exchange
         self._first = first
@@ -84,6 +94,10 @@
                 pass
             case _:
                 return Unknown(Step.CONNECT, silent.peer, "no second connection")
+        # Nothing is awaited between this look and the first byte: the key may have moved.
+        if not self._may_copy():
+            pool.give_back(connection)
+            return Unknown(Step.SEND, silent.peer, "the key moved before a second copy was sent")
         begin_request(connection, self._exchange, headers, self._first)
         kept = False
         try:
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -233,7 +233,13 @@
             first = work.first or FirstPart(
                 work.exchange.take_body(), work.exchange.body_received()
             )
-            attempt = Attempt(work.lane, work.exchange, first)
+            shard = work.route.shard
+            attempt = Attempt(
+                work.lane,
+                work.exchange,
+                first,
+                may_copy=lambda: self._authority.permit(shard) == fence,
+            )
             reply = await attempt.run(connection, headers, repeatable=work.repeatable)
             if not isinstance(reply, Received):
                 proved = isinstance(reply, NotRun)
