Check changes of the member set

Cause: the model left out how a cell's members change, on which every judgement of loss rests. Change: a sixth specification with four mutants, among them a restarted member that echoes before the store told it the set, which is the form the rule has in the code.

--- a/libs/model/src/fuchsiawell/model/catalog.py
+++ b/libs/model/src/fuchsiawell/model/catalog.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.model.assignment import MADE_STAYS, AssignmentRules, assignment_spec
+from fuchsiawell.model.changes import NOT_APART, ChangeRules, change_spec
 from fuchsiawell.model.membership import (
     LOST_HAS_STOPPED,
     Evidence,
@@ -39,6 +40,7 @@
 
 WINDOW = MembershipRules()
 REPORTS = MembershipRules(Evidence.RECENT_REPORTS)
+CHANGES = ChangeRules()
 CHECKED = OwnershipRules()
 UNCHECKED = UncheckedRules()
 STORE = AssignmentRules()
@@ -50,6 +52,7 @@
     assignment_spec(STORE),
     membership_spec(WINDOW),
     membership_spec(REPORTS),
+    change_spec(CHANGES),
     ownership_spec(CHECKED),
     unchecked_spec(UNCHECKED),
     *(
@@ -64,6 +67,10 @@
     return Variant(name, membership_spec(rules), LOST_HAS_STOPPED)
 
 
+def _changes(name: str, rules: ChangeRules) -> Variant:
+    return Variant(name, change_spec(rules), NOT_APART)
+
+
 def _ownership(name: str, rules: OwnershipRules, property: str = RUNS) -> Variant:
     return Variant(name, ownership_spec(rules), property)
 
@@ -88,6 +95,10 @@
     _membership("silence shorter than the right", replace(WINDOW, silent=1)),
     _membership("reporter of silence goes on echoing", replace(REPORTS, reporter_is_mute=False)),
     _membership("restarted member echoes at once", replace(REPORTS, starts_mute=False)),
+    _changes("two members change at once", replace(CHANGES, one_at_a_time=False)),
+    _changes("next change before the last is held", replace(CHANGES, waits_for_holders=False)),
+    _changes("echo to a holder of an older set", replace(CHANGES, refuses_older=False)),
+    _changes("echo before the store confirmed", replace(CHANGES, echoes_once_confirmed=False)),
     _ownership("no fence check", replace(CHECKED, checks_fence=False)),
     _ownership("move without release", replace(CHECKED, moves_after_release=False)),
     _ownership("server lost before its grants lapsed", replace(CHECKED, loses_after_lapse=False)),
--- a/libs/model/tests/test_catalog.py
+++ b/libs/model/tests/test_catalog.py
@@ -39,4 +39,5 @@
         "successor skips the journal",
         "right revived by a late echo",
         "restarted member echoes at once",
+        "echo before the store confirmed",
     } <= {mutant.name for mutant in MUTANTS}
