--- a/libs/standins/src/fuchsiawell/standins/demo/load.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/load.py
@@ -36,8 +36,8 @@
 RESEND_PAUSE_S = 0.5
 UNSENT_RETRIES = 10  # at other daemons, as the balancer does
 UPLOAD_CHUNK_BYTES = 65_536
-UPLOAD_CHUNKS = 24
-UPLOAD_CHUNK_PAUSE_S = 0.05  # an upload takes about 1.2 s, as from a tablet
+UPLOAD_CHUNKS = 14
+UPLOAD_CHUNK_PAUSE_S = 0.05  # an upload takes about 0.7 s, as from a tablet
 OK_STATUSES = range(200, 300)
 
 
--- a/libs/standins/src/fuchsiawell/standins/demo/scenario.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/scenario.py
@@ -18,9 +18,9 @@
 
 __all__ = ["Scenario"]
 
-CALM_S = 3.0
-LOST_S = 4.0  # from a loss to the return of what was lost
-SETTLE_S = 1.5
+CALM_S = 2.0
+LOST_S = 3.5  # from a loss to the return of what was lost
+SETTLE_S = 1.0
 LEAVING_S = 0.3  # from the announcement of a planned stop to the stop
 POLL_S = 0.05
 READY_TIMEOUT_S = 15.0
--- a/libs/standins/src/fuchsiawell/standins/demo/timeline.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/timeline.py
@@ -32,7 +32,7 @@
         printed = (await site.run_command("timeline", argv, TIMEOUT_S)).splitlines()
     except SiteError as error:
         printed = [str(error)]
-    return [*caller_lines(phase, attempts), *_shortened(printed)]
+    return [f"{since} {phase.name}", *caller_lines(phase, attempts), *_shortened(printed)]
 
 
 def caller_lines(phase: Phase, attempts: Iterable[Attempt]) -> list[str]:
