Bound what callers have in flight; vouch for no id that was not looked up

Cause: the setting max_requests_in_flight bounded nothing; an id that was sent before and whose copy the entry daemon refused by itself (body too slow) was told as not run, though its first copy may have run. Change: counts in flight by caller and in all; every refusal of never-repeat work by the entry goes through the rule for ids that no ledger has seen; refusals are logged at most 50 a second, with a count of those left out. A balancer in front is named in the settings, else all its callers count as one.

--- a/libs/config/src/fuchsiawell/config/settings.py
+++ b/libs/config/src/fuchsiawell/config/settings.py
@@ -82,6 +82,7 @@
     host_list_url: str
     log_level: LogLevel = LogLevel.INFO
     limits: Limits = Limits()
+    balancers: tuple[str, ...] = ()  # IP numbers whose X-Forwarded-For names the caller
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,14 @@
     return text.rstrip("/")
 
 
+def _checked_ip(text: str) -> str:
+    try:
+        return str(ip_address(text))
+    except ValueError:
+        raise ValueError(f"{text!r} is not an IP number") from None
+
+
+IpText = Annotated[str, AfterValidator(_checked_ip)]
 AddressText = Annotated[str, AfterValidator(_checked_address)]
 UrlText = Annotated[str, AfterValidator(_checked_url)]
 Count = Annotated[int, Field(ge=1)]
@@ -167,6 +176,7 @@
     host_list_url: UrlText
     log_level: LogLevel = LogLevel.INFO
     limits: LimitsModel = LimitsModel()
+    balancers: tuple[IpText, ...] = ()
 
     @model_validator(mode="after")
     def _addresses_differ(self) -> DaemonSettings:
@@ -189,6 +199,7 @@
             host_list_url=self.host_list_url,
             log_level=self.log_level,
             limits=self.limits.to_limits(),
+            balancers=self.balancers,
         )
 
 
--- a/libs/daemon/src/fuchsiawell/daemon/entry/app.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/app.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.core import RequestId
-from fuchsiawell.daemon.entry.call import Call, CallerGoneError
+from fuchsiawell.daemon.entry.call import Call, CallerGoneError, Shared
+from fuchsiawell.daemon.entry.limits import CallerLimits
+from fuchsiawell.daemon.log_budget import LogBudget
 from fuchsiawell.daemon.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -18,6 +20,8 @@
 
 __all__ = ["EntryApp"]
 
+MAX_REFUSALS_LOGGED_PER_S = 50  # in an overload the log must not become the load
+
 
 class EntryApp:
     """Answer callers over ASGI; `/{service}/{kind}/{key}[/rest]` on any method."""
@@ -26,21 +30,29 @@
         self._context = context
         self._state = state
         self._forwarder = forwarder
-        self.in_flight = 0
         self.metrics = Metrics()
+        self._shared = Shared(
+            self.metrics,
+            CallerLimits(context.settings.limits.max_requests_in_flight),
+            LogBudget(context.log, context.clock, MAX_REFUSALS_LOGGED_PER_S),
+        )
         # The server logs each dropped connection as an error of the application.
         logging.getLogger("uvicorn.error").addFilter(_not_a_dropped_connection)
 
+    @property
+    def in_flight(self) -> int:
+        """Count the requests that were taken and have not ended."""
+        return self._shared.limits.in_flight
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request; raise `CallerGoneError` to have its connection dropped."""
         if scope["type"] != "http":
             return
-        self.in_flight += 1
         call = Call(
             self._context,
             self._state,
             self._forwarder,
-            self.metrics,
+            self._shared,
             RequestId(self._context.ids.new()),
             (scope, receive, send),
         )
@@ -49,8 +61,6 @@
         except asyncio.CancelledError:
             if not call.caller_gone:
                 raise
-        finally:
-            self.in_flight -= 1
 
 
 def _not_a_dropped_connection(record: logging.LogRecord) -> bool:
--- a/libs/daemon/src/fuchsiawell/daemon/entry/call.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -20,6 +21,7 @@
 from fuchsiawell.daemon.entry.asgi import CONNECTION_EXTENSION
 from fuchsiawell.daemon.entry.body import CallerBody
 from fuchsiawell.daemon.entry.forward import Reply
+from fuchsiawell.daemon.entry.limits import RETRY_AFTER_S
 from fuchsiawell.daemon.entry.refusals import outcome_page
 from fuchsiawell.daemon.entry.target import Target, parse_target
 from fuchsiawell.daemon.http_fields import field, passed_on
@@ -33,10 +35,12 @@
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.entry.asgi import CallerConnection, Receive, Scope, Send
     from fuchsiawell.daemon.entry.forward import Forwarder
+    from fuchsiawell.daemon.entry.limits import CallerLimits
+    from fuchsiawell.daemon.log_budget import LogBudget
     from fuchsiawell.daemon.metrics import Metrics
     from fuchsiawell.transport import Headers
 
-__all__ = ["Call", "CallerGoneError"]
+__all__ = ["Call", "CallerGoneError", "Shared"]
 
 MS_PER_S = 1000
 MAX_ID_BYTES = 255  # a longer idempotency key is refused
@@ -46,6 +50,15 @@
     """Report that the caller's connection must be dropped, as its answer was cut."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """Hold what all requests of a daemon share."""
+
+    metrics: Metrics
+    limits: CallerLimits
+    refusals: LogBudget
+
+
 class Call:
     """Serve one request of a caller."""
 
@@ -54,14 +67,15 @@
         context: Context,
         state: CellState,
         forwarder: Forwarder,
-        metrics: Metrics,
+        shared: Shared,
         request_id: RequestId,
         asgi: tuple[Scope, Receive, Send],
     ) -> None:
         self._context = context
         self._state = state
         self._forwarder = forwarder
-        self._metrics = metrics
+        self._shared = shared
+        self._entered_as: str | None = None  # the caller that this request counts for
         self._names = ("", "")  # of service and kind, once they are known to exist
         self._request_id = request_id
         self._scope, self._receive, self._send = asgi
@@ -81,16 +95,18 @@
                 await self._describe(reply)
                 outcome = reply
         finally:
+            if self._entered_as is not None:
+                self._shared.limits.leave(self._entered_as)
             self._measure(outcome, self._context.clock.monotonic() - started_s)
             if connection is not None:
                 connection.on_lost = None
 
     def _measure(self, outcome: Outcome | None, waited_s: float) -> None:
         if outcome is None:
-            self._metrics.count_cut()
+            self._shared.metrics.count_cut()
         else:
             service, kind = self._names
-            self._metrics.record(service, kind, outcome, waited_s)
+            self._shared.metrics.record(service, kind, outcome, waited_s)
 
     def _watch_caller(self) -> CallerConnection | None:
         extensions = self._scope.get("extensions") or {}
@@ -123,15 +139,23 @@
             return NotRun(NotRunReason.MALFORMED, Step.ACCEPT, own)
         if id is None and not kind.repeatable and kind.id_style is not IdStyle.MINTED:
             return NotRun(NotRunReason.ID_REQUIRED, Step.ACCEPT, own)
+        head = self._head(target, headers, budget_s, id)
+        reply = await self._within_limits(head, kind)
+        return reply if isinstance(reply, Reply) else outcome_told(reply, _attempt(head, kind))
+
+    async def _within_limits(self, head: RequestHead, kind: Kind) -> Reply | Outcome:
+        own = self._context.settings.daemon
+        if not self._shared.limits.enter(head.caller):
+            return NotRun(NotRunReason.CALLER_LIMIT, Step.ACCEPT, own, RETRY_AFTER_S)
+        self._entered_as = head.caller
         idle_s = self._context.settings.limits.body_idle_timeout_s
+        headers: Headers = self._scope["headers"]
         body = CallerBody(self._receive, headers, kind.max_body_bytes, idle_s, own)
         refused = await body.start()
         if refused is not None:
             return refused
-        head = self._head(target, headers, budget_s, id)
-        deadline = Deadline.after(self._context.clock, budget_s)
-        reply = await self._forwarder.forward(head, body, deadline, kind.repeatable)
-        return reply if isinstance(reply, Reply) else outcome_told(reply, _attempt(head, kind))
+        deadline = Deadline.after(self._context.clock, head.deadline_s)
+        return await self._forwarder.forward(head, body, deadline, kind.repeatable)
 
     def _kind(self, target: Target) -> Kind | NotRun:
         own = self._context.settings.daemon
@@ -156,7 +180,6 @@
     ) -> RequestHead:
         query = self._scope["query_string"]
         path = self._scope["raw_path"].decode("latin-1")
-        client = self._scope.get("client")
         return RequestHead(
             self._request_id,
             target.service,
@@ -167,10 +190,19 @@
             passed_on(headers),
             budget_s,
             id,
-            client[0] if client else "",
+            self._caller(headers),
             stated_first=field(self._scope["headers"], Header.ATTEMPT.encode()) == "1",
         )
 
+    def _caller(self, headers: Headers) -> str:
+        """Return the IP number of the caller, as the balancer in front tells it if there is one."""
+        client = self._scope.get("client")
+        address = str(client[0]) if client else ""
+        if address in self._context.settings.balancers:
+            forwarded = field(headers, b"x-forwarded-for")
+            return forwarded.rpartition(",")[2].strip() if forwarded else address
+        return address
+
     async def _pass_on(self, reply: Reply) -> None:
         exchange = reply.exchange
         headers = [*reply.head.headers, (Header.REQUEST_ID.encode(), self._request_id.encode())]
@@ -195,7 +227,7 @@
 
     async def _describe(self, outcome: Outcome) -> None:
         page = outcome_page(outcome, self._request_id)
-        self._context.log.event(
+        self._shared.refusals.event(
             "refused",
             outcome=outcome,
             request=self._request_id,
