Bound how long started work may run without a renewed grant

Cause: a server cut off from its leader is declared lost once its grants have lapsed, and its shards go to others; work that had started before then ran on to its deadline beside the new owner. The lapse only kept new work from starting. Change: grants carry run_ms (1.8 s), the server stops what still runs then, and the leader states a loss only after that time. A lost server's keys wait 0.4 s longer (1.94 s after the last grant in place of 1.5 s of silence). The stand-in stops such work (test_work_is_stopped_once_its_grant_ran_out).

--- a/libs/core/src/fuchsiawell/core/headers.py
+++ b/libs/core/src/fuchsiawell/core/headers.py
@@ -38,12 +38,13 @@
     """Name the paths of a backend server that are not its callers'.
 
     GRANT: GET gives {"clock_ms"}, the server's monotonic clock, as does every answer here.
-    POST {"leader", "term", "call", "clock_ms", "ttl_ms", "epochs": {"service/index": epoch}}
-    replaces all grants of a lower or the same term, good until the clock reads `clock_ms` plus
-    `ttl_ms`, however late the call arrives; 200, or 409 {"term"} when a higher term is known, or
-    a `call` of this term that is not lower.
-    RENEW: POST {"term", "clock_ms", "ttl_ms"}; 200, 409 for a higher term, 410 when the grant
-    lapsed or is unknown.
+    POST {"leader", "term", "call", "clock_ms", "ttl_ms", "run_ms", "epochs": {"service/index":
+    epoch}} replaces all grants of a lower or the same term, good until the clock reads `clock_ms`
+    plus `ttl_ms`, however late the call arrives; work that still runs at `clock_ms` plus `run_ms`
+    is stopped. 200, or 409 {"term"} when a higher term is known, or a `call` of this term that is
+    not lower.
+    RENEW: POST {"term", "clock_ms", "ttl_ms", "run_ms"}; 200, 409 for a higher term, 410 when the
+    grant lapsed or is unknown.
     RELEASE: POST {"term", "shard"}; 200 once nothing of the shard runs and its grant is gone.
     CANCEL: POST {"request"}; 200 {"state": "not-run" | "running" | "done" | "unknown"}.
     HEALTH: GET, 200 or 503. LOAD: GET {"running", "queued", "slots"}. Both may mislead.
--- a/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
@@ -111,6 +111,7 @@
             "call": action.call,
             "clock_ms": action.clock_ms,
             "ttl_ms": int(action.ttl_s * MS_PER_S),
+            "run_ms": int(action.run_s * MS_PER_S),
             "epochs": {str(shard): epoch for shard, epoch in action.epochs_by_shard.items()},
         }
         answer = await self._exchange(action.address, ServerPath.GRANT, fields, CALL_TIMEOUT_S)
@@ -122,6 +123,7 @@
             "call": action.call,
             "clock_ms": action.clock_ms,
             "ttl_ms": int(action.ttl_s * MS_PER_S),
+            "run_ms": int(action.run_s * MS_PER_S),
         }
         answer = await self._exchange(action.address, ServerPath.RENEW, fields, CALL_TIMEOUT_S)
         return _grant_event(action, answer, GrantRenewed)
--- a/libs/ownership/src/fuchsiawell/ownership/__init__.py
+++ b/libs/ownership/src/fuchsiawell/ownership/__init__.py
@@ -54,7 +54,7 @@
 from fuchsiawell.ownership.leadership import Fence, Leader
 from fuchsiawell.ownership.membership import HEARTBEAT_S, RIGHT_S, SILENT_S, Heartbeat, Membership
 from fuchsiawell.ownership.observer import Observer
-from fuchsiawell.ownership.server_leadership import DRAIN_S, GRANT_TTL_S, ServerLeadership
+from fuchsiawell.ownership.server_leadership import DRAIN_S, GRANT_TTL_S, RUN_S, ServerLeadership
 
 __all__ = [
     "DRAIN_S",
@@ -62,6 +62,7 @@
     "GRANT_TTL_S",
     "HEARTBEAT_S",
     "RIGHT_S",
+    "RUN_S",
     "SILENT_S",
     "Action",
     "Assignment",
--- a/libs/ownership/src/fuchsiawell/ownership/actions.py
+++ b/libs/ownership/src/fuchsiawell/ownership/actions.py
@@ -42,6 +42,7 @@
 class InstallGrant:
     """Replace all grants at the server, good until its clock reads `clock_ms` plus the TTL.
 
+    Work that still runs when the clock reads `clock_ms` plus `run_s` is stopped by the server.
     The server refuses a call number that is not above the last one of the term: a grant that
     was held up cannot bring back a shard that was released since.
     """
@@ -52,6 +53,7 @@
     call: int
     clock_ms: int | None  # the server's own clock, as it last told; None: it tells none
     ttl_s: float
+    run_s: float
     epochs_by_shard: dict[ShardId, int]
 
 
@@ -65,6 +67,7 @@
     call: int
     clock_ms: int | None
     ttl_s: float
+    run_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
@@ -49,15 +49,17 @@
     "DRAIN_S",
     "GRANT_TTL_S",
     "RENEW_S",
+    "RUN_S",
     "LeadershipState",
     "ServerLeadership",
 ]
 
 GRANT_TTL_S = 0.8  # a grant holds so long after the server's clock reading that it is based on
+RUN_S = 1.8  # started work may run on so long after the same reading; a successor takes less
 RENEW_S = 0.25  # least time between two renewals
 CALL_TIMEOUT_S = 0.3  # a call that is not answered by then counts as unanswered
 PROBE_S = 0.4  # least time between two probes
-LAPSE_MARGIN_S = 0.1  # beyond the TTL before a grant counts as lapsed; covers timer granularity
+LAPSE_MARGIN_S = 0.1  # beyond RUN_S before work counts as stopped; covers timer granularity
 SERVER_SILENT_S = 1.5  # a server that answered nothing for so long is given up
 UNREACHED_S = 1.0  # the same for one that never answered under this term
 DRAIN_S = 2.0  # a leaving server gets no new work after this time
@@ -247,6 +249,7 @@
             self._number(),
             self._clock_ms,
             GRANT_TTL_S,
+            RUN_S,
             dict(self._wanted),
         )
 
@@ -258,6 +261,7 @@
             self._number(),
             self._clock_ms,
             GRANT_TTL_S,
+            RUN_S,
         )
 
     def _number(self) -> int:
@@ -321,7 +325,7 @@
         """Return from when on nothing that was sent under any term so far can run."""
         if not self.record.checks_fence:
             return max(self._taken_over_s, self._last_work_s) + self._settle_s
-        return self._last_grant_sent_s + GRANT_TTL_S * (1 + CLOCK_MARGIN) + LAPSE_MARGIN_S
+        return self._last_grant_sent_s + RUN_S * (1 + CLOCK_MARGIN) + LAPSE_MARGIN_S
 
     def _releases(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
--- a/libs/standins/src/fuchsiawell/standins/backend/app.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/app.py
@@ -47,12 +47,14 @@
     epochs: dict[str, int]
     call: int | None = None
     clock_ms: int | None = None
+    run_ms: int | None = None
 
 
 class _RenewModel(BaseModel):
     term: int
     ttl_ms: int
     clock_ms: int | None = None
+    run_ms: int | None = None
 
 
 class _ReleaseModel(BaseModel):
@@ -130,13 +132,20 @@
     async def _grant(self, request: Request) -> Response:
         model = _GrantModel.model_validate_json(await request.body())
         answer = self.grants.install(
-            model.term, model.ttl_ms / 1000, model.epochs, model.call, model.clock_ms
+            model.term,
+            model.ttl_ms / 1000,
+            model.epochs,
+            model.call,
+            model.clock_ms,
+            _seconds(model.run_ms),
         )
         return self._grant_response(answer)
 
     async def _renew(self, request: Request) -> Response:
         model = _RenewModel.model_validate_json(await request.body())
-        answer = self.grants.renew(model.term, model.ttl_ms / 1000, model.clock_ms)
+        answer = self.grants.renew(
+            model.term, model.ttl_ms / 1000, model.clock_ms, _seconds(model.run_ms)
+        )
         return self._grant_response(answer)
 
     async def _release(self, request: Request) -> Response:
@@ -215,6 +224,10 @@
         )
 
 
+def _seconds(ms: int | None) -> float | None:
+    return None if ms is None else ms / 1000
+
+
 async def _malformed(request: Request, error: Exception) -> Response:
     return JSONResponse({"error": str(error)}, HTTPStatus.BAD_REQUEST)
 
--- a/libs/standins/src/fuchsiawell/standins/backend/grants.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         self._clock = clock
         self._term = 0
         self._last_call = 0
+        self._runs_until_s = inf
         self._lapses_at_s = clock.monotonic()
         self._epoch_by_shard: dict[str, int] = {}
         self._releasing: dict[str, int] = {}  # epochs of shards whose work is still to end
@@ -68,6 +70,7 @@
         epochs: Mapping[str, int],
         call: int | None = None,
         clock_ms: int | None = None,
+        run_s: float | None = None,
     ) -> GrantAnswer:
         """Replace all grants of a lower or the same term, unless a later call was here before.
 
@@ -81,15 +84,20 @@
         self._epoch_by_shard = dict(epochs)
         self._releasing.clear()
         self._lapses_at_s = self._lapse_s(ttl_s, clock_ms)
+        self._runs_until_s = inf if run_s is None else self._lapse_s(run_s, clock_ms)
         return Accepted()
 
-    def renew(self, term: int, ttl_s: float, clock_ms: int | None = None) -> GrantAnswer:
+    def renew(
+        self, term: int, ttl_s: float, clock_ms: int | None = None, run_s: float | None = None
+    ) -> GrantAnswer:
         """Extend the grants of `term`, unless they lapsed."""
         if term < self._term:
             return HigherTerm(self._term)
         if term > self._term or self._lapsed():
             return GrantLapsed()
         self._lapses_at_s = max(self._lapses_at_s, self._lapse_s(ttl_s, clock_ms))
+        runs_until_s = inf if run_s is None else self._lapse_s(run_s, clock_ms)
+        self._runs_until_s = max(self._runs_until_s, runs_until_s)
         return Accepted()
 
     def release(self, term: int, shard: str) -> GrantAnswer:
@@ -122,6 +130,10 @@
         granted = self._epoch_by_shard.get(fence.shard, self._releasing.get(fence.shard))
         return granted == fence.epoch
 
+    def run_left_s(self) -> float:
+        """Return for how long started work may run on; infinite where no grant limits it."""
+        return self._runs_until_s - self._clock.monotonic()
+
     def _lapsed(self) -> bool:
         return self._clock.monotonic() >= self._lapses_at_s
 
--- a/libs/standins/src/fuchsiawell/standins/backend/worker.py
+++ b/libs/standins/src/fuchsiawell/standins/backend/worker.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 from hashlib import sha256
+from math import inf
 from typing import TYPE_CHECKING
 
 from fuchsiawell.core import Deadline
@@ -242,7 +243,7 @@
         service_s = self._behaviour().service_time_s if asked_s is None else asked_s
         timer = asyncio.ensure_future(self._sleep(service_s * self._cold_factor()))
         try:
-            done = await self._first(timer, work, self._remaining_s(work))
+            done = await self._run_while_granted(timer, work)
         finally:
             timer.cancel()
         if done:
@@ -250,6 +251,20 @@
         stopped = work.cancelled.is_set() or work.link.lost.is_set()
         return Ending.CANCELLED if stopped else Ending.EXPIRED
 
+    async def _run_while_granted(self, timer: asyncio.Future[None], work: _Work) -> bool:
+        """Tell whether the work was done before its deadline and before its grant ran out."""
+        while True:
+            left_s = min(self._run_left_s(), _or_infinite(self._remaining_s(work)))
+            done = await self._first(timer, work, None if left_s == inf else left_s)
+            if done or work.cancelled.is_set() or work.link.lost.is_set():
+                # A process that was frozen finds its timers due all at once.
+                return done and self._run_left_s() > 0
+            if self._run_left_s() <= 0 or _or_infinite(self._remaining_s(work)) <= 0:
+                return False
+
+    def _run_left_s(self) -> float:
+        return self._grants.run_left_s() if self._settings.checks_fence else inf
+
     def _cold_factor(self) -> float:
         """Return how much slower than usual work is, falling to 1 over the cold start."""
         age_s = self._clock.monotonic() - self._started_at_s
@@ -317,6 +332,10 @@
         return await wait_for_first(goal, *stops)
 
 
+def _or_infinite(seconds: float | None) -> float:
+    return inf if seconds is None else seconds
+
+
 def _cause_of_leaving(work: _Work) -> RefusalCause:
     return RefusalCause.SHED if work.cancelled.is_set() else RefusalCause.DEADLINE
 
--- a/libs/standins/tests/backend/test_worker.py
+++ b/libs/standins/tests/backend/test_worker.py
@@ -327,3 +327,15 @@
     assert await bench.own("GET", "/_executions") == []
     stats = await bench.own("GET", "/_admin/stats")
     assert (stats["executions"], stats["running"]) == (0, 0)
+
+
+@pytest.mark.parametrize(("renewed", "ending"), [(False, Ending.EXPIRED), (True, Ending.DONE)])
+async def test_work_is_stopped_once_its_grant_ran_out(renewed: bool, ending: Ending) -> None:
+    bench = Bench()
+    bench.backend.grants.install(3, 0.3, {"penwatch/0": 7}, run_s=0.8)
+    bench.call("r1")
+    await bench.time.run(0.2)
+    if renewed:
+        bench.backend.grants.renew(3, 0.3, run_s=0.9)
+    await bench.time.run(1.0)
+    assert bench.ran() == [("r1", ending)]
