--- a/libs/daemon/src/fuchsiawell/daemon/control/balance_loop.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/balance_loop.py
@@ -21,8 +21,9 @@
     from fuchsiawell.core import DaemonId
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.control.interfaces import ControlLinks
     from fuchsiawell.ownership import Assignment, Request
-    from fuchsiawell.transport import Peers
+
 
 __all__ = ["BALANCE_S", "BalanceLoop"]
 
@@ -37,7 +38,7 @@
         self,
         context: Context,
         state: CellState,
-        peers: Peers,
+        peers: ControlLinks,
         ask: Callable[[tuple[Request, ...]], None],
     ) -> None:
         self._context = context
--- a/libs/daemon/src/fuchsiawell/daemon/control/control.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/control.py
@@ -14,6 +14,7 @@
 from fuchsiawell.daemon.control.distribution import Distribution
 from fuchsiawell.daemon.control.leader_loop import LEAD_S, LeaderLoop
 from fuchsiawell.daemon.control.loops import Loops
+from fuchsiawell.daemon.control.server_calls import ServerCalls
 from fuchsiawell.daemon.control.store_records import StoreRecords
 from fuchsiawell.daemon.control.wire import (
     ControlKind,
@@ -27,14 +28,14 @@
 from fuchsiawell.platform import ENTRY_ROLE, Host
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.control.interfaces import Calls, ControlLinks
     from fuchsiawell.load import LoadReport
     from fuchsiawell.ownership import Request
     from fuchsiawell.platform import HostList, Store
-    from fuchsiawell.transport import Peers
 
 __all__ = ["Control"]
 
@@ -52,7 +53,14 @@
     """Own the control loops of a daemon and what they share."""
 
     def __init__(
-        self, context: Context, state: CellState, peers: Peers, store: Store, hosts: HostList
+        self,
+        context: Context,
+        state: CellState,
+        peers: ControlLinks,
+        store: Store,
+        hosts: HostList,
+        calls: Calls | None = None,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         settings, clock = context.settings, context.clock
         now_s = clock.monotonic()
@@ -68,12 +76,15 @@
         self.authority = LeadershipAuthority(self.leader, clock)
         self.records = StoreRecords(context, state, store)
         self._distribution = Distribution(context, state, peers)
-        self._leading = LeaderLoop(context, self.leader, self.observer, peers)
+        self._sleep = sleep
+        self._leading = LeaderLoop(
+            context, self.leader, self.observer, peers, calls or ServerCalls(settings.daemon)
+        )
         self._deciding = ControllerLoop(
             context, state, self.observer, self.records, self._distribution
         )
         self._balancing = BalanceLoop(context, state, peers, self.ask)
-        self._loops = Loops(context.log)
+        self._loops = Loops(context.log, sleep)
         self._had_right = False
         state.listen(self._on_records)
 
@@ -96,8 +107,8 @@
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_S):
                 # Successors may also go away, which no record tells.
-                while self._has_successors() and self._leads_any():  # noqa: ASYNC110
-                    await asyncio.sleep(LEAVE_POLL_S)
+                while self._has_successors() and self._leads_any():
+                    await self._sleep(LEAVE_POLL_S)
         except TimeoutError:
             self._context.log.warning("left without hand-over", step="leave")
 
@@ -220,7 +231,7 @@
         """Read both records once; from then on only the controller asks the store."""
         records, state = self.records, self._state
         if not records.confirmed:
-            await asyncio.sleep(self._context.random.random() * FIRST_READS_S)
+            await self._sleep(self._context.random.random() * FIRST_READS_S)
             if await records.read_assignment() and await records.read_configuration():
                 self._on_records()
                 return
@@ -235,7 +246,7 @@
             return
         elif await records.read_assignment():
             return
-        await asyncio.sleep(RETRY_READ_S * (0.5 + self._context.random.random()))
+        await self._sleep(RETRY_READ_S * (0.5 + self._context.random.random()))
 
     def _has_successors(self) -> bool:
         now_s = self._context.clock.monotonic()
--- a/libs/daemon/src/fuchsiawell/daemon/control/controller_loop.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/controller_loop.py
@@ -6,8 +6,14 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.daemon.control.changes import log_changes
-from fuchsiawell.ownership import Assignment, CellSettings, decide, first_assignment, may_decide
-from fuchsiawell.ownership.controller import GATHER_S, TAKEOVER_STEP_S
+from fuchsiawell.ownership import (
+    Assignment,
+    CellSettings,
+    decide,
+    first_assignment,
+    may_decide,
+    may_write_first,
+)
 
 if TYPE_CHECKING:
     from fuchsiawell.config import Configuration
@@ -57,11 +63,9 @@
         """Write the record of a new cell, in the order of ranks so that one daemon does."""
         if not self._records.absent:
             return
-        own = self._context.settings.daemon
         nothing = Assignment(self._context.settings.cell, None, 0, ())
         evidence = self._observer.evidence(nothing, self._context.clock.monotonic())
-        rank = sum(daemon < own for daemon in evidence.incarnations_by_daemon)
-        if evidence.started_for_s < GATHER_S + rank * TAKEOVER_STEP_S or not evidence.hosts:
+        if not may_write_first(evidence):
             return
         settings = cell_settings(configuration)
         made = first_assignment(self._context.settings.cell, evidence, settings)
@@ -74,17 +78,20 @@
             return
         made = decide(assignment, evidence, settings, now_s)
         if made is None:
+            self._observer.forget_requests(evidence.requests)
             return
         if now_s - self._observer.rebalanced_s >= settings.rebalance_s:
             self._observer.rebalanced_s = now_s
-        await self._write(assignment, made)
+        if await self._write(assignment, made):
+            self._observer.forget_requests(evidence.requests)
 
-    async def _write(self, before: Assignment | None, made: Assignment) -> None:
+    async def _write(self, before: Assignment | None, made: Assignment) -> bool:
         was_made = await self._records.write_assignment(made)
         after = self._state.assignment
         if was_made and after is not None:
             log_changes(self._context.log, before, after)
         self._distribution.push()
+        return was_made
 
     def _is_weighed(self, assignment: Assignment, evidence: Evidence, now_s: float) -> bool:
         """Tell whether the same evidence led to no decision a moment ago."""
--- a/libs/daemon/src/fuchsiawell/daemon/control/distribution.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/distribution.py
@@ -14,8 +14,8 @@
     from fuchsiawell.core import DaemonId
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.control.interfaces import ControlLinks
     from fuchsiawell.ownership import Heartbeat
-    from fuchsiawell.transport import Peers
 
 __all__ = ["Distribution"]
 
@@ -25,7 +25,7 @@
 class Distribution:
     """Push news to every peer, and ask whoever holds newer records than this daemon."""
 
-    def __init__(self, context: Context, state: CellState, peers: Peers) -> None:
+    def __init__(self, context: Context, state: CellState, peers: ControlLinks) -> None:
         self._context = context
         self._state = state
         self._peers = peers
--- a/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
@@ -5,13 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from fuchsiawell.daemon.control.server_calls import ServerCalls
 from fuchsiawell.daemon.control.wire import ControlKind, facts_to_wire
 
 if TYPE_CHECKING:
     from fuchsiawell.daemon.context import Context
+    from fuchsiawell.daemon.control.interfaces import Calls, ControlLinks
     from fuchsiawell.ownership import Action, Fact, Leader, Observer
-    from fuchsiawell.transport import Peers
 
 __all__ = ["LEAD_S", "LeaderLoop"]
 
@@ -22,12 +21,19 @@
 class LeaderLoop:
     """Turn the leadership's actions into calls and their answers into events."""
 
-    def __init__(self, context: Context, leader: Leader, observer: Observer, peers: Peers) -> None:
+    def __init__(
+        self,
+        context: Context,
+        leader: Leader,
+        observer: Observer,
+        peers: ControlLinks,
+        calls: Calls,
+    ) -> None:
         self._context = context
         self._leader = leader
         self._observer = observer
         self._peers = peers
-        self._calls = ServerCalls(context.settings.daemon)
+        self._calls = calls
         self._tasks: set[asyncio.Task[None]] = set()
         self._stated: frozenset[Fact] = frozenset()
         self._stated_s = float("-inf")
--- a/libs/daemon/src/fuchsiawell/daemon/control/loops.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/loops.py
@@ -18,8 +18,9 @@
 class Loops:
     """Own the tasks of repeated steps; a step that fails is logged and taken again."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, sleep: Callable[[float], Awaitable[None]]) -> None:
         self._log = log
+        self._sleep = sleep
         self._tasks: list[asyncio.Task[None]] = []
 
     def every(self, period_s: float, name: str, step: Callable[[], Awaitable[None]]) -> None:
@@ -41,4 +42,4 @@
                 await step()
             except (FuchsiawellError, OSError, LookupError, ValueError, TypeError) as error:
                 self._log.warning("step failed", step=name, detail=repr(error))
-            await asyncio.sleep(period_s)
+            await self._sleep(period_s)
--- a/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
@@ -14,6 +14,7 @@
 from aiosonic.pools import PoolConfig
 
 from fuchsiawell.core.headers import ServerPath
+from fuchsiawell.daemon.control.interfaces import Calls
 from fuchsiawell.ownership import (
     Event,
     GrantInstalled,
@@ -68,7 +69,7 @@
         return clock_ms if isinstance(clock_ms, int) else None
 
 
-class ServerCalls:
+class ServerCalls(Calls):
     """Carry out actions; every call ends in an event."""
 
     def __init__(self, own_id: DaemonId) -> None:
--- a/libs/daemon/src/fuchsiawell/daemon/control/wire.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple
 from enum import StrEnum, unique
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -72,8 +71,21 @@
 
 def heartbeat_to_wire(heartbeat: Heartbeat) -> list[Any]:
     """Return the fields in order; silences in milliseconds."""
-    *fields, silences = astuple(heartbeat)
-    return [*fields, {id: int(s * MS_PER_S) for id, s in silences.items()}]
+    return [
+        heartbeat.sender,
+        heartbeat.zone,
+        heartbeat.incarnation,
+        heartbeat.sequence,
+        heartbeat.echo_incarnation,
+        heartbeat.echo_sequence,
+        heartbeat.acting,
+        heartbeat.leaving,
+        heartbeat.has_store,
+        heartbeat.revision,
+        heartbeat.members_version,
+        heartbeat.configuration_version,
+        {id: int(s * MS_PER_S) for id, s in heartbeat.silent_s_by_member.items()},
+    ]
 
 
 def heartbeat_from_wire(fields: list[Any], sender: DaemonId) -> Heartbeat:
--- a/libs/daemon/tests/control/test_control.py
+++ b/libs/daemon/tests/control/test_control.py
@@ -9,10 +9,11 @@
 
 import pytest
 from callers import ask
-from cell import CELL, FEED, SERVICE, STATUS, address
+from cell import CELL, FEED, SERVICE, STATUS
 from result import Ok
 
 from fuchsiawell.config import (
+    Address,
     Configuration,
     Goal,
     Service,
@@ -26,6 +27,7 @@
 from fuchsiawell.platform import ABSENT, ENTRY_ROLE, Host, HostList, HostState, Revision
 from fuchsiawell.standins.backend import Backend, BackendSettings
 from fuchsiawell.standins.memory_store import MemoryStore
+from fuchsiawell.standins.process import free_port
 from fuchsiawell.standins.serving import running
 
 if TYPE_CHECKING:
@@ -90,9 +92,8 @@
         self.hosts.listed.append(Host(id, SERVICE, where, "vuda", HostState.LIVE))
 
     def add_daemon(self, id: str) -> Application:
-        settings = Settings(
-            DaemonId(id), CELL, "fiji", "vuda", address(), address(), address(), "", ""
-        )
+        addresses = [Address("127.0.0.1", free_port()) for _ in range(3)]
+        settings = Settings(DaemonId(id), CELL, "fiji", "vuda", *addresses, "", "")
         self.hosts.listed.append(
             Host(id, ENTRY_ROLE, str(settings.peer_address), "vuda", HostState.LIVE)
         )
--- a/libs/ownership/src/fuchsiawell/ownership/__init__.py
+++ b/libs/ownership/src/fuchsiawell/ownership/__init__.py
@@ -34,7 +34,7 @@
     decode_assignment,
     encode_assignment,
 )
-from fuchsiawell.ownership.controller import decide, first_assignment, may_decide
+from fuchsiawell.ownership.controller import decide, first_assignment, may_decide, may_write_first
 from fuchsiawell.ownership.evidence import (
     CellSettings,
     Evidence,
@@ -113,4 +113,5 @@
     "encode_assignment",
     "first_assignment",
     "may_decide",
+    "may_write_first",
 ]
--- a/libs/ownership/src/fuchsiawell/ownership/controller.py
+++ b/libs/ownership/src/fuchsiawell/ownership/controller.py
@@ -18,15 +18,18 @@
     place_shards,
 )
 from fuchsiawell.ownership.servers import list_servers, mark_servers
+from fuchsiawell.platform import ENTRY_ROLE
 
 if TYPE_CHECKING:
     from fuchsiawell.core import CellName
     from fuchsiawell.ownership.evidence import CellSettings, Evidence, Fact
 
-__all__ = ["GATHER_S", "TAKEOVER_STEP_S", "decide", "first_assignment", "may_decide"]
+__all__ = ["TAKEOVER_STEP_S", "decide", "first_assignment", "may_decide", "may_write_first"]
 
 TAKEOVER_STEP_S = 0.3  # each live member waits so long after the one ranked before it
 GATHER_S = 1.0  # a daemon that finds no record hears its peers for so long before it writes one
+GATHER_ALL_S = 5.0  # up to then only if it hears every daemon that the host list names
+GATHER_LIMIT_S = 20.0  # up to then only if it hears most of them
 
 
 def first_assignment(cell: CellName, evidence: Evidence, settings: CellSettings) -> Assignment:
@@ -46,6 +49,23 @@
     return draft.finish() or Assignment(cell, evidence.self_id, 1, members)
 
 
+def may_write_first(evidence: Evidence) -> bool:
+    """Tell whether this daemon may write the record of a new cell by now.
+
+    A cell whose first members are few is lost with them: the listed daemons are waited for, all
+    of them at first, then most of them, then none. Ranks keep daemons from writing all at once.
+    """
+    rank = sum(daemon < evidence.self_id for daemon in evidence.incarnations_by_daemon)
+    waited_s = evidence.started_for_s - rank * TAKEOVER_STEP_S
+    listed = sum(host.role == ENTRY_ROLE for host in evidence.hosts)
+    heard = len(evidence.incarnations_by_daemon)
+    if waited_s < GATHER_S or not evidence.hosts:
+        return False
+    if waited_s < GATHER_ALL_S:
+        return heard >= listed
+    return heard > listed // 2 or waited_s >= GATHER_LIMIT_S
+
+
 def decide(
     assignment: Assignment, evidence: Evidence, settings: CellSettings, now_s: float
 ) -> Assignment | None:
--- a/libs/ownership/src/fuchsiawell/ownership/membership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/membership.py
@@ -144,11 +144,13 @@
     def lost_members(self, now_s: float) -> frozenset[DaemonId]:
         """Return the members whose right to act is proved to have lapsed within the last second."""
         self._observe(now_s)
-        return frozenset(
-            member
-            for member in self.members
-            if member != self.self_id and self._is_lost(member, now_s)
-        )
+        reported: set[DaemonId] = set()
+        for member in self.members:
+            heartbeat = self._peers_by_id[member].heartbeat
+            if heartbeat is not None:
+                reported.update(heartbeat.silent_s_by_member)
+        reported.discard(self.self_id)
+        return frozenset(m for m in reported if m in self.members and self._is_lost(m, now_s))
 
     def heard(self, now_s: float) -> dict[DaemonId, Heartbeat]:
         """Return the latest heartbeats of the daemons heard within SILENT_S, members or not."""
--- a/libs/ownership/src/fuchsiawell/ownership/observer.py
+++ b/libs/ownership/src/fuchsiawell/ownership/observer.py
@@ -18,7 +18,7 @@
 __all__ = ["Observer"]
 
 
-REQUEST_S = 3.0  # a request that nobody repeats is forgotten after this time
+REQUEST_S = 3.0  # a request that could not be weighed is forgotten after this time
 
 
 class Observer:
@@ -38,9 +38,14 @@
         self._facts_by_daemon[daemon] = facts
 
     def on_requests(self, requests: Iterable[Request], now_s: float) -> None:
-        """Take what a balancer or an operator asks for; it counts for REQUEST_S."""
+        """Take what a balancer or an operator asks for; it counts once, within REQUEST_S."""
         self._asked_s_by_request |= dict.fromkeys(requests, now_s)
 
+    def forget_requests(self, requests: Iterable[Request]) -> None:
+        """Drop requests that were weighed; kept, two for one shard would move it to and fro."""
+        for request in requests:
+            self._asked_s_by_request.pop(request, None)
+
     def evidence(self, assignment: Assignment, now_s: float) -> Evidence:
         """Return what is known at this instant, with `assignment` as the record in force."""
         membership = self._membership
--- a/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
+++ b/libs/ownership/src/fuchsiawell/ownership/server_leadership.py
@@ -55,9 +55,10 @@
 ]
 
 GRANT_TTL_S = 0.8  # a grant holds so long after the server's clock reading that it is based on
-RUN_S = 1.8  # started work may run on so long after the same reading; a successor takes less
+RUN_S = 1.1  # started work may run on so long after the same reading, through a short pause
 RENEW_S = 0.25  # least time between two renewals
 CALL_TIMEOUT_S = 0.3  # a call that is not answered by then counts as unanswered
+RETRY_S = 0.1  # least time from a call without answer to the next; refusals come at once
 PROBE_S = 0.4  # least time between two probes
 LAPSE_MARGIN_S = 0.1  # beyond RUN_S before work counts as stopped; covers timer granularity
 SERVER_SILENT_S = 1.5  # a server that answered nothing for so long is given up
@@ -122,6 +123,7 @@
         self._last_call = 0
         self._call: Action | None = None
         self._call_sent_s = float("-inf")
+        self._call_again_s = float("-inf")
         self._clock_ms: int | None = None
         self._clock_from_s = now_s
         self._clock_known = False
@@ -226,7 +228,7 @@
         if self.state is LeadershipState.LOST or not self.record.checks_fence:
             return self._probe() if now_s - self._call_sent_s >= PROBE_S else None
         if not self._clock_known:
-            return self._probe()
+            return self._probe() if now_s >= self._call_again_s else None
         if self._granted != self._wanted or self.state is not LeadershipState.SERVING:
             self._last_grant_sent_s = now_s
             return self._install()
@@ -295,6 +297,7 @@
         """Ask for a sign of life next: grants sent into silence would only put off their lapse."""
         self._answers_in_row = 0
         self._clock_known = False
+        self._call_again_s = self._call_sent_s + RETRY_S
 
     def _on_granted(self) -> None:
         self._granted_until_s = self._clock_from_s + GRANT_TTL_S * (1 - CLOCK_MARGIN)
--- a/libs/ownership/tests/test_controller.py
+++ b/libs/ownership/tests/test_controller.py
@@ -24,8 +24,9 @@
     UnpinKey,
     decide,
     first_assignment,
+    may_write_first,
 )
-from fuchsiawell.platform import Host, HostState
+from fuchsiawell.platform import ENTRY_ROLE, Host, HostState
 
 SERVICE = ServiceName("penwatch")
 ZONES = ("lautoka", "saweni", "vuda")
@@ -97,6 +98,21 @@
     assert {server.leader for server in made.servers_by_id.values()} == set(DAEMONS)
 
 
+@pytest.mark.parametrize(
+    ("heard", "started_for_s", "may"),
+    [(6, 0.9, False), (6, 1.0, True), (5, 4.9, False), (4, 5.0, True), (3, 19.9, False)],
+)
+def test_a_new_cell_waits_for_its_daemons(heard: int, started_for_s: float, may: bool) -> None:
+    entries = tuple(Host(id, ENTRY_ROLE, id, "vuda", HostState.LIVE) for id in DAEMONS)
+    seen = evidence(
+        hosts=(*HOSTS, *entries),
+        incarnations_by_daemon=dict.fromkeys(DAEMONS[:heard], 1),
+        started_for_s=started_for_s,
+    )
+    assert may_write_first(seen) is may
+    assert may_write_first(replace(seen, started_for_s=30.0))
+
+
 def test_who_hears_no_majority_decides_nothing() -> None:
     assert rests(first(), evidence(has_right=False, **without("d1", "d2")))
 
--- a/libs/ownership/tests/test_leadership.py
+++ b/libs/ownership/tests/test_leadership.py
@@ -20,6 +20,7 @@
     InstallGrant,
     Leader,
     Membership,
+    NoAnswer,
     ProbeAnswered,
     ProbeServer,
     Released,
@@ -244,3 +245,17 @@
         if ServerLost(SERVER, 3) in bench.leader.facts():
             break
     assert bench.now_s >= sent_s + DEADLINE_S
+
+
+def test_a_server_that_refuses_connections_is_not_called_without_pause() -> None:
+    bench = Bench()
+    bench.run(0.2)
+    calls = 0
+    for _ in range(100):
+        for action in bench.leader.tick(bench.now_s):
+            assert isinstance(action, ProbeServer | InstallGrant | RenewGrant)
+            calls += 1
+            failed = NoAnswer(action.server, action.term, action.call)
+            bench.leader.on_event(failed, bench.now_s)
+        bench.now_s += 0.005
+    assert calls <= 7
