Isolate and refuse crashing requests in the leader

Cause: one request that crashes its server, resent for ever, took down server after server. Change: leader/crashes.py puts isolation around each exchange; a broken exchange is followed by a probe, and a refused connection counts as a crash (a silent server does not). Findings go to the cell's members and into the store. Without suspects, entering costs no future. Conclusion: test with an in-process server that is reset twice. A server that is up again before the probe is not found; see AT-MOST-ONCE.md.

--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -9,7 +9,13 @@
 from fuchsiawell.daemon.cell_state import CellState
 from fuchsiawell.daemon.control import Control
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
-from fuchsiawell.daemon.leader import AssignedAuthority, LeaderService, OnceService
+from fuchsiawell.daemon.leader import (
+    LOSS_REPORT,
+    AssignedAuthority,
+    Crashes,
+    LeaderService,
+    OnceService,
+)
 from fuchsiawell.daemon.operators import OperatorServer, StatusSource, overview
 from fuchsiawell.daemon.records import RecordReader
 from fuchsiawell.transport import LinkHooks, PeerListener, Peers, open_loopback
@@ -42,7 +48,8 @@
         fixed = AssignedAuthority(own, self.state)
         authority = fixed if self.control is None else self.control.authority
         self._once = OnceService(context, self.state, store, authority)
-        self._leader = LeaderService(context, self.state, authority, self._once)
+        self._crashes = Crashes(context, self.state, store, self._peers)
+        self._leader = LeaderService(context, self.state, authority, self._once, self._crashes)
         loopback = open_loopback(own, clock, lamport, self)
         forwarder = Forwarder(context, self.state, self._peers, loopback)
         self._entry = EntryApp(context, self.state, forwarder)
@@ -62,6 +69,7 @@
             self.control.balance_by(self._leader.load_report)
             self.control.start()
         self._once.start()
+        self._crashes.start()
         await self._callers.start()
         self._context.log.event("started", daemon=settings.daemon, zone=settings.zone)
 
@@ -83,6 +91,7 @@
         await self._callers.stop()
         await self._leader.drain()
         await self._once.stop()
+        await self._crashes.stop()
         await self._reader.stop()
         if self.control is not None:
             await self.control.stop()
@@ -101,7 +110,9 @@
 
     def on_control(self, sender: DaemonId, kind: str, body: Any) -> None:
         """Take a control message."""
-        if self.control is not None:
+        if kind == LOSS_REPORT:
+            self._crashes.on_control(body)
+        elif self.control is not None:
             self.control.on_control(sender, kind, body)
 
     # What operators see.
--- a/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from fuchsiawell.daemon.leader.authority import AssignedAuthority, Authority
+from fuchsiawell.daemon.leader.crashes import LOSS_REPORT, Crashes
 from fuchsiawell.daemon.leader.once_service import OnceService
 from fuchsiawell.daemon.leader.service import LeaderService
 
-__all__ = ["AssignedAuthority", "Authority", "LeaderService", "OnceService"]
+__all__ = [
+    "LOSS_REPORT",
+    "AssignedAuthority",
+    "Authority",
+    "Crashes",
+    "LeaderService",
+    "OnceService",
+]
--- a/libs/daemon/src/fuchsiawell/daemon/leader/pool.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/pool.py
@@ -22,6 +22,10 @@
 class ConnectError(Exception):
     """Report that no connection could be opened, so nothing was sent."""
 
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused  # the host answered that nobody listens: the process is gone
+
 
 class Pool:
     """Open, keep and replace connections; the newest idle one is used first.
@@ -74,7 +78,8 @@
                 )
         except (OSError, TimeoutError) as error:
             self._open_count -= 1
-            return Err(ConnectError(str(error) or "timed out"))
+            refused = isinstance(error, ConnectionRefusedError)
+            return Err(ConnectError(str(error) or "timed out", refused=refused))
         except BaseException:
             self._open_count -= 1
             raise
--- a/libs/daemon/src/fuchsiawell/daemon/leader/service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/service.py
@@ -39,6 +39,7 @@
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
     from fuchsiawell.daemon.leader.connection import Connection
+    from fuchsiawell.daemon.leader.crashes import Crashes
     from fuchsiawell.daemon.leader.once_service import OnceService
     from fuchsiawell.load import LoadReport
     from fuchsiawell.ownership import Fence, Route, ServerRecord
@@ -62,7 +63,7 @@
     repeatable: bool
     sent: bool = False  # from here on only an answer or a refusal proves anything
     whole: bool = False  # the whole answer has been received
-    first: FirstPart | None = None  # taken before the request was queued
+    first: FirstPart | None = None  # taken before the request is sent
     may_send: Callable[[], bool] | None = None  # the ledger's word, for never-repeat work
     status: int = 0
     kept: KeptAnswer | None = None
@@ -73,12 +74,18 @@
     """Serve the requests that entry daemons send for keys led here."""
 
     def __init__(
-        self, context: Context, state: CellState, authority: Authority, once: OnceService
+        self,
+        context: Context,
+        state: CellState,
+        authority: Authority,
+        once: OnceService,
+        crashes: Crashes,
     ) -> None:
         self._context = context
         self._state = state
         self._authority = authority
         self._once = once
+        self._crashes = crashes
         self._lanes_by_server: dict[ServerId, Lane] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._meter = LoadMeter(context.clock.monotonic())
@@ -193,7 +200,7 @@
             return NotRun(NotRunReason.SHED, Step.ADMIT, work.server.id, shed.retry_after_s)
         outcome: Outcome | None = None
         try:
-            outcome = await self._connect(work)
+            outcome = await self._isolated(work)
             return outcome
         finally:
             if isinstance(outcome, NotRun) and outcome.reason is NotRunReason.SHED:
@@ -201,6 +208,24 @@
             else:
                 work.lane.gate.leave(work.entry, measured=work.whole)
 
+    async def _isolated(self, work: _Work) -> Outcome | None:
+        exchange = work.exchange
+        work.first = work.first or FirstPart(exchange.take_body(), exchange.body_received())
+        flight = await self._crashes.enter(work.server.id, exchange.head, work.first)
+        if isinstance(flight, NotRun):
+            return flight
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._connect(work)
+            return outcome
+        finally:
+            if work.whole:
+                self._crashes.answered(flight)
+            elif not work.sent or isinstance(outcome, NotRun):
+                self._crashes.refused(flight)
+            else:
+                self._crashes.broke(flight, work.lane)
+
     async def _connect(self, work: _Work) -> Outcome | None:
         match await work.lane.pool.take():
             case Err(_):
@@ -230,14 +255,12 @@
         try:
             left_s = work.deadline.remaining_s(self._context.clock)
             headers = request_headers(work.exchange, str(work.route.shard), fence, left_s)
-            first = work.first or FirstPart(
-                work.exchange.take_body(), work.exchange.body_received()
-            )
+            assert work.first is not None  # taken before the request was isolated
             shard = work.route.shard
             attempt = Attempt(
                 work.lane,
                 work.exchange,
-                first,
+                work.first,
                 may_copy=lambda: self._authority.permit(shard) == fence,
             )
             reply = await attempt.run(connection, headers, repeatable=work.repeatable)
--- a/libs/daemon/tests/cell.py
+++ b/libs/daemon/tests/cell.py
@@ -174,6 +174,20 @@
         await asyncio.gather(*(application.stop() for application in self.applications))
         await asyncio.gather(*(server.stop() for server in self._http))
 
+    async def crash(self, server: EchoServer) -> None:
+        """End a server as a killed process ends: every connection is reset, nobody listens."""
+        http = self._http[self.servers.index(server)]
+        for listening in http._server.servers:
+            listening.close()
+        for connection in list(http._server.server_state.connections):
+            connection.transport.abort()
+        http._server.force_exit = True
+        await http.stop()
+
+    async def restart(self, server: EchoServer) -> None:
+        self._http[self.servers.index(server)] = EmbeddedServer(server, server.address)
+        await self._http[self.servers.index(server)].start()
+
     def assignment(self) -> Assignment:
         servers = {
             server.id: ServerRecord(
--- a/libs/once/src/fuchsiawell/once/isolation.py
+++ b/libs/once/src/fuchsiawell/once/isolation.py
@@ -37,10 +37,12 @@
 
     async def enter(self, server: ServerId, digest: bytes) -> Flight | Convicted:
         """Wait for the request's turn at the server; call it last before the first byte."""
-        waiters = self._waiters_by_server.setdefault(server, deque())
+        if server not in self._waiters_by_server:
+            admitted = self._admit(server, digest)
+            if admitted is not None:
+                return admitted
         waiter = _Waiter(digest, asyncio.get_running_loop().create_future())
-        waiters.append(waiter)
-        self._pump(server)
+        self._waiters_by_server.setdefault(server, deque()).append(waiter)
         try:
             return await waiter.turn
         except asyncio.CancelledError:
@@ -96,22 +98,22 @@
 
     def _pump(self, server: ServerId) -> None:
         waiters = self._waiters_by_server.get(server)
-        while waiters and self._admit(server, waiters[0]):
+        while waiters:
+            if not waiters[0].turn.done():
+                admitted = self._admit(server, waiters[0].digest)
+                if admitted is None:
+                    return
+                waiters[0].turn.set_result(admitted)
             waiters.popleft()
-        if not waiters:
-            self._waiters_by_server.pop(server, None)
-
-    def _admit(self, server: ServerId, waiter: _Waiter) -> bool:
-        if waiter.turn.done():
-            return True
-        if self._suspects.is_convicted(waiter.digest):
-            waiter.turn.set_result(Convicted())
-            return True
-        suspect = self._suspects.is_suspect(waiter.digest)
+        self._waiters_by_server.pop(server, None)
+
+    def _admit(self, server: ServerId, digest: bytes) -> Flight | Convicted | None:
+        if self._suspects.is_convicted(digest):
+            return Convicted()
+        suspect = self._suspects.is_suspect(digest)
         if server in self._alone_by_server or (suspect and self._suspects.in_flight(server)):
-            return False
-        flight = self._suspects.started(server, waiter.digest)
+            return None
+        flight = self._suspects.started(server, digest)
         if flight.alone:
             self._alone_by_server[server] = flight
-        waiter.turn.set_result(flight)
-        return True
+        return flight
