Hold a refusal for copies sent since it was first told

A refusal told a second time held only for the rest of the first one's time, and a copy sent between the two arrived after it and ran. Change: every refusal that is told holds for its own full time, and says so in retry-after.

--- a/libs/once/src/fuchsiawell/once/ledger.py
+++ b/libs/once/src/fuchsiawell/once/ledger.py
@@ -260,8 +260,9 @@
     ) -> Decision | None:
         if record.expires_s <= now_s or record.refused is None:
             return None
+        # Each refusal that is told must hold for copies that were sent before it.
+        record.expires_s = max(record.expires_s, now_s + request.quiet_s)
         if record.content != request.content:
-            record.expires_s = max(record.expires_s, now_s + request.quiet_s)
             return Conflict()
         return Refuse(record.refused, record.expires_s - now_s)
 
@@ -392,7 +393,10 @@
         if found is not None and found[1] <= now_s:
             del self._found[identity]
         record = self._records.get(identity)
-        if record is None or record.expires_s > now_s:
+        if record is None:
+            return
+        if record.expires_s > now_s:
+            self._await_expiry(identity, record.expires_s)
             return
         if record.in_progress:
             record.expires_s = now_s + 1
--- a/libs/once/src/fuchsiawell/once/runner.py
+++ b/libs/once/src/fuchsiawell/once/runner.py
@@ -209,8 +209,8 @@
             case NotRun(reason, step, peer, retry_after_s):
                 quiet_s = 0.0 if reason in REROUTE_REASONS else request.quiet_s
                 self._forget(ticket, reason, quiet_s)
-                if quiet_s and retry_after_s is not None:
-                    retry_after_s = max(retry_after_s, quiet_s)
+                if quiet_s > 0:
+                    retry_after_s = max(retry_after_s or 0.0, quiet_s)
                 refusal = NotRun(reason, step, peer, retry_after_s)
                 return OnceResult(self._vouched(ticket.shard, refusal))
             case Unknown():
