--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -10,6 +10,7 @@
 from fuchsiawell.daemon.control import Control
 from fuchsiawell.daemon.entry import CallerServer, EntryApp, Forwarder
 from fuchsiawell.daemon.leader import (
+    HAND_OVER_KINDS,
     LOSS_REPORT,
     AssignedAuthority,
     Crashes,
@@ -47,7 +48,7 @@
         )
         fixed = AssignedAuthority(own, self.state)
         authority = fixed if self.control is None else self.control.authority
-        self._once = OnceService(context, self.state, store, authority)
+        self._once = OnceService(context, self.state, store, authority, self._peers)
         self._crashes = Crashes(context, self.state, store, self._peers)
         self._leader = LeaderService(context, self.state, authority, self._once, self._crashes)
         loopback = open_loopback(own, clock, lamport, self)
@@ -112,6 +113,8 @@
         """Take a control message."""
         if kind == LOSS_REPORT:
             self._crashes.on_control(body)
+        elif kind in HAND_OVER_KINDS:
+            self._once.on_control(sender, kind, body)
         elif self.control is not None:
             self.control.on_control(sender, kind, body)
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -25,7 +26,8 @@
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
-    from fuchsiawell.once import Journal, Ledger, OnceRunner
+    from fuchsiawell.daemon.leader.once_hand_over import HandOvers
+    from fuchsiawell.once import HandOver, Journal, Ledger, OnceRunner
     from fuchsiawell.ownership import Assignment, Fence
 
 __all__ = ["OnceScopes"]
@@ -46,6 +48,7 @@
         ledger: Ledger,
         journal: Journal,
         runner: OnceRunner,
+        hand_overs: HandOvers,
     ) -> None:
         self._context = context
         self._state = state
@@ -53,6 +56,8 @@
         self._ledger = ledger
         self._journal = journal
         self._runner = runner
+        self._hand_overs = hand_overs
+        hand_overs.on_superseded = self._on_superseded
         self._fence_by_shard: dict[ShardId, Fence] = {}
         self._pins: dict[tuple[ServiceName, str], ShardId] = {}
         self._returned_keys: set[Scope] = set()  # unpinned, to be opened in their hash shard
@@ -97,9 +102,9 @@
     async def _step(self, assignment: Assignment) -> None:
         self._follow_pins(assignment)
         fences, refused = self._fences(assignment)
-        for shard in [s for s, f in self._fence_by_shard.items() if fences.get(s) != f]:
-            del self._fence_by_shard[shard]
-            self._ledger.close(Scope(shard))
+        for shard, fence in list(self._fence_by_shard.items()):
+            if not self._is_current(assignment, shard, fence):
+                self._close(shard)
         self._returned_keys = {k for k in self._returned_keys if k.shard in self._fence_by_shard}
         wanted = {s: f for s, f in fences.items() if s not in self._fence_by_shard}
         if wanted or self._returned_keys:
@@ -123,6 +128,12 @@
     async def _take_over(self, assignment: Assignment, wanted: dict[ShardId, Fence]) -> None:
         """Read the journals and open; a fence in force proves that earlier leaders had stopped."""
         stopped_s = self._context.clock.monotonic()
+        given = await self._hand_overs.ask(wanted) if wanted else {}
+        for shard, handed in given.items():
+            self._accept(assignment, shard, wanted.pop(shard), handed)
+        if not wanted and not self._returned_keys:
+            self._opened(len(given), 0)
+            return
         read = await self._journal.read_others(journal_prefix(self._context.settings.cell))
         if isinstance(read, Err):
             self._context.log.warning("journals not read", step="intent", error=read.err_value)
@@ -141,10 +152,49 @@
             if self._authority.permit(scope.shard) == fence:
                 stopped = Stopped(_stopped_by(assignment, fence), stopped_s)
                 self._ledger.take_over([scope], stopped, narrowed)
+        self._opened(len(wanted) + len(given), len(narrowed.intents))
+
+    def _opened(self, shards: int, intents: int) -> None:
         self._declare()
-        self._context.log.event("scopes opened", shards=len(wanted), intents=len(narrowed.intents))
+        self._context.log.event("scopes opened", shards=shards, intents=intents)
         self._runner.scopes_opened()
 
+    def _accept(
+        self, assignment: Assignment, shard: ShardId, fence: Fence, given: HandOver
+    ) -> None:
+        """Open a shard with what its direct predecessor knew."""
+        if self._authority.permit(shard) != fence:
+            return
+        places = _places(assignment, {shard: fence}, set())
+        scopes = tuple(held for held in given.scopes if held.scope.shard == shard)
+        found = tuple(intent for intent in given.found if places.covers(intent.place))
+        self._ledger.accept(replace(given, scopes=scopes, found=found))
+        self._fence_by_shard[shard] = fence
+
+    def _close(self, shard: ShardId) -> None:
+        fence = self._fence_by_shard.pop(shard)
+        held = self._ledger.close(Scope(shard))
+        if held is not None:
+            self._hand_overs.closed(shard, fence, held)
+
+    def _on_superseded(self, shard: ShardId, newer: Fence) -> None:
+        """Close a shard that another leader was granted, though the news is not here yet."""
+        fence = self._fence_by_shard.get(shard)
+        if fence is None:
+            return
+        later_term = newer.server == fence.server and newer.term > fence.term
+        if later_term or newer.epoch > fence.epoch:
+            self._close(shard)
+
+    def _is_current(self, assignment: Assignment, shard: ShardId, fence: Fence) -> bool:
+        """Tell whether the record still names this leadership, be it silent for the moment."""
+        record = assignment.shards_by_id.get(shard)
+        server = assignment.servers_by_id.get(fence.server)
+        if record is None or server is None:
+            return False
+        own = server.leader == self._context.settings.daemon and server.term == fence.term
+        return own and record.owner == fence.server and record.epoch == fence.epoch
+
     def _declare(self) -> None:
         """Declare the shards led here that go on in a store outage."""
         if self._state.configuration is None:
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
@@ -4,12 +4,13 @@
 
 from dataclasses import dataclass
 from hashlib import blake2b
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from fuchsiawell.config import IdStyle, StoreOutage
 from fuchsiawell.core import Answered, NotRun, NotRunReason, Step, Unknown
 from fuchsiawell.daemon.http_fields import field
 from fuchsiawell.daemon.leader.once_answers import id_offer, reply_kept
+from fuchsiawell.daemon.leader.once_hand_over import HandOvers
 from fuchsiawell.daemon.leader.once_scopes import OnceScopes
 from fuchsiawell.daemon.leader.once_windows import lingers_s, window_s
 from fuchsiawell.once import (
@@ -30,14 +31,14 @@
     from collections.abc import Awaitable, Callable
 
     from fuchsiawell.config import Kind
-    from fuchsiawell.core import Deadline, Outcome, ShardId
+    from fuchsiawell.core import DaemonId, Deadline, Outcome, ShardId
     from fuchsiawell.daemon.cell_state import CellState
     from fuchsiawell.daemon.context import Context
     from fuchsiawell.daemon.leader.authority import Authority
     from fuchsiawell.daemon.leader.sending import FirstPart
     from fuchsiawell.once import Exchanged
     from fuchsiawell.platform import Store
-    from fuchsiawell.transport import RequestHead, ServerExchange
+    from fuchsiawell.transport import Peers, RequestHead, ServerExchange
 
 __all__ = ["OnceCall", "OnceService"]
 
@@ -57,7 +58,12 @@
     """Own everything by which this daemon runs each never-repeat request at most once."""
 
     def __init__(
-        self, context: Context, state: CellState, store: Store, authority: Authority
+        self,
+        context: Context,
+        state: CellState,
+        store: Store,
+        authority: Authority,
+        peers: Peers | None = None,
     ) -> None:
         self._context = context
         self._state = state
@@ -69,8 +75,15 @@
         self._journal = Journal(store, key, nonce, clock, on_deposed=self._deposed)
         self._authority = authority
         self._runner = OnceRunner(self._ledger, self._journal, clock, self._may_act, own)
+        self._hand_overs = HandOvers(context, state, self._ledger, peers)
         self._scopes = OnceScopes(
-            context, state, authority, self._ledger, self._journal, self._runner
+            context,
+            state,
+            authority,
+            self._ledger,
+            self._journal,
+            self._runner,
+            self._hand_overs,
         )
 
     def start(self) -> None:
@@ -82,6 +95,10 @@
         await self._scopes.stop()
         await self._journal.close()
 
+    def on_control(self, sender: DaemonId, kind: str, body: Any) -> None:
+        """Take a question or an answer of another leader."""
+        self._hand_overs.on_control(sender, kind, body)
+
     async def serve(
         self, call: OnceCall, exchange: Callable[[Callable[[], bool]], Awaitable[Exchanged]]
     ) -> Outcome | None:
--- a/libs/daemon/tests/cell.py
+++ b/libs/daemon/tests/cell.py
@@ -188,6 +188,21 @@
         self._http[self.servers.index(server)] = EmbeddedServer(server, server.address)
         await self._http[self.servers.index(server)].start()
 
+    async def lead_all(self, leader: DaemonId) -> None:
+        """Give all servers another leader under the next term, and wait until all know."""
+        now = self.assignment()
+        servers = {
+            id: replace(server, leader=leader, term=server.term + 1)
+            for id, server in now.servers_by_id.items()
+        }
+        record = (await self.store.get(assignment_key(CELL))).unwrap()
+        assert record is not None
+        value = encode_assignment(replace(now, servers_by_id=servers))
+        await self.store.put(assignment_key(CELL), value, record.revision)
+        for application in self.applications:
+            while (known := application.state.assignment) is None or known.servers_by_id != servers:
+                await asyncio.sleep(0.02)
+
     def assignment(self) -> Assignment:
         servers = {
             server.id: ServerRecord(
--- a/libs/daemon/tests/test_once.py
+++ b/libs/daemon/tests/test_once.py
@@ -112,3 +112,38 @@
     assert outcome(await feed(cell, "r1", **fields))[0] == "unknown"
     first = await feed(cell, "r1", fuchsiawell_attempt="1", **fields)
     assert outcome(first) == ("not-run", "no-owner")
+
+
+async def test_a_clean_change_of_leader_leaves_nothing_unknown(cell: Cell) -> None:
+    address = cell.settings[2].caller_address
+    offer = await ask(address, f"/penwatch/drop/{KEY}", "POST", b"5 kg")
+    used, unused = offer.headers["fuchsiawell-issued-id"], ""
+    answers = [await feed(cell, "r1"), await feed(cell, used, kind="drop")]
+    unused = answers[1].headers["fuchsiawell-issued-id"]
+    await cell.lead_all(cell.settings[2].daemon)
+    again = [await feed(cell, "r1"), await feed(cell, used, kind="drop")]
+    assert [answer.body for answer in again] == [answer.body for answer in answers]
+    assert outcome(await feed(cell, unused, kind="drop")) == ("answered", None)
+    assert len(cell.server_of(KEY).requests) == 3
+
+
+async def test_an_unclean_change_of_leader_runs_nothing_again(cell: Cell) -> None:
+    address = cell.settings[2].caller_address
+    offer = await ask(address, f"/penwatch/drop/{KEY}", "POST", b"5 kg")
+    used = offer.headers["fuchsiawell-issued-id"]
+    await feed(cell, "r1")
+    await feed(cell, used, kind="drop")
+    for application in cell.applications:
+        application._once._hand_overs._closed = _Forgets()
+    await cell.lead_all(cell.settings[2].daemon)
+    assert outcome(await feed(cell, "r1")) == ("unknown", None)
+    assert outcome(await feed(cell, used, kind="drop")) == ("unknown", None)
+    assert outcome(await feed(cell, "r2")) == ("answered", None)
+    assert len(cell.server_of(KEY).requests) == 3
+
+
+class _Forgets(dict):  # type: ignore[type-arg]
+    """What a leader that is gone would answer."""
+
+    def __setitem__(self, key: object, value: object) -> None:
+        pass
--- a/libs/once/src/fuchsiawell/once/ledger.py
+++ b/libs/once/src/fuchsiawell/once/ledger.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from math import ceil
 from typing import TYPE_CHECKING
 
 from fuchsiawell.core import FuchsiawellError, NotRunReason
+from fuchsiawell.once.answers import KeptAnswers
+from fuchsiawell.once.expiry import ExpiryWheel
 from fuchsiawell.once.minted import (
     PREFIX,
     Foreign,
@@ -14,7 +15,6 @@
     FreeForm,
     Genuine,
     Mint,
-    TenureSet,
     check_id,
     issue_id,
 )
@@ -23,7 +23,6 @@
     Decision,
     FoundIntent,
     HandedRecord,
-    HandedScope,
     HandOver,
     Hold,
     InProgress,
@@ -41,12 +40,13 @@
     UnknownBefore,
 )
 from fuchsiawell.once.requests import MAX_ID_CHARS
+from fuchsiawell.once.scopes import Scopes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from fuchsiawell.core import Clock, ShardId
-    from fuchsiawell.once.minted import Tenure
+    from fuchsiawell.once.records import HandedScope
     from fuchsiawell.once.requests import OnceRequest
 
 __all__ = ["Ledger", "LedgerError", "LedgerLimits"]
@@ -80,11 +80,9 @@
         self._limits = limits or LedgerLimits()
         self._records: dict[bytes, Record] = {}
         self._found: dict[bytes, tuple[FoundIntent, float]] = {}
-        self._holds: dict[tuple[ShardId, str | None], Hold] = {}
-        self._expiring_by_s: dict[int, list[bytes]] = {}
-        self._swept_s = int(clock.monotonic())
-        self._answered: dict[bytes, Record] = {}  # with a kept answer, oldest first
-        self._answer_bytes = 0
+        self._scopes = Scopes(mint)
+        self._expiry = ExpiryWheel(clock.monotonic())
+        self._answers = KeptAnswers(self._limits.max_answer_bytes)
 
     def __len__(self) -> int:
         """Return the number of ids that it remembers."""
@@ -109,7 +107,7 @@
         if found is not None:
             same = found[0].content == request.content
             return UnknownBefore("sent by a leader that was lost") if same else Conflict()
-        hold = self._hold(request.shard, request.key)
+        hold = self._scopes.find(request.shard, request.key)
         if hold is None:
             return NotOpen()
         return self._first(request, identity, hold, now_s)
@@ -122,7 +120,7 @@
     def send(self, ticket: Record) -> bool:
         """Note that the next step hands bytes to a connection; false: it must not any more."""
         self._expect(ticket, RecordState.INTENT)
-        if self._hold(ticket.shard, ticket.key) is not ticket.hold:
+        if self._scopes.find(ticket.shard, ticket.key) is not ticket.hold:
             return False
         ticket.state = RecordState.SENT
         return True
@@ -132,7 +130,7 @@
         self._expect(ticket, RecordState.SENT, RecordState.UNKNOWN)
         ticket.state = RecordState.ANSWERED
         if answer is not None and self._records.get(ticket.identity) is ticket:
-            self._keep(ticket, answer)
+            self._answers.keep(ticket, answer)
 
     def not_run(self, ticket: Record, reason: NotRunReason, quiet_s: float = 0.0) -> None:
         """Note a proof that it did not run; a copy that arrives after `quiet_s` may run.
@@ -149,7 +147,7 @@
         ticket.state = RecordState.NOT_RUN
         ticket.refused = reason
         ticket.expires_s = self._clock.monotonic() + quiet_s
-        self._await_expiry(ticket.identity, ticket.expires_s)
+        self._expiry.add(ticket.identity, ticket.expires_s)
 
     def unknown(self, ticket: Record) -> None:
         """Note that it was sent and its end will not be known."""
@@ -158,7 +156,7 @@
 
     def issue(self, shard: ShardId, key: str) -> str | None:
         """Return an id for a later request for `key`; none while its scope is not open."""
-        hold = self._hold(shard, key)
+        hold = self._scopes.find(shard, key)
         if hold is None:
             return None
         now_s = self._clock.monotonic()
@@ -168,7 +166,7 @@
 
     def is_open(self, shard: ShardId, key: str | None = None) -> bool:
         """Tell whether new never-repeat work of the shard, or of the key in it, is taken."""
-        return self._hold(shard, key) is not None
+        return self._scopes.find(shard, key) is not None
 
     def take_over(
         self, scopes: Iterable[Scope], stopped: Stopped, read: JournalsRead | None = None
@@ -180,14 +178,14 @@
         """
         if stopped.how is StoppedBy.NEVER_LED:
             for scope in scopes:
-                self._open(scope, ())
+                self._scopes.open(scope, (), 0.0)
             return
         if read is None or read.started_s < stopped.at_s:
             raise LedgerError("take over", stopped.how.name, "journals not read since it stopped")
         self._add_found(read.intents)
         now_s = self._clock.monotonic()
         for scope in scopes:
-            self._open(scope, (), now_s + read.unjournaled_s(scope))
+            self._scopes.open(scope, (), now_s + read.unjournaled_s(scope))
 
     def accept(self, given: HandOver, scope_by_old: dict[Scope, Scope] | None = None) -> None:
         """Open scopes with all that their earlier leader knew.
@@ -206,37 +204,40 @@
         for held in given.scopes:
             earlier = tuple(replace(t, offset_s=t.offset_s + shift_s) for t in held.tenures)
             until_s = now_s + held.unjournaled_for_s
-            self._open(new_scope.get(held.scope, held.scope), earlier, until_s)
+            self._scopes.open(new_scope.get(held.scope, held.scope), earlier, until_s)
 
     def hand_over(self, scopes: Iterable[Scope]) -> HandOver:
         """Close scopes for good and return what their next leader must know.
 
-        Scopes that are not open are left out. What is still running is handed over as unknown,
-        so let it end first.
+        Scopes that are not open are left out.
+        """
+        closed = [self.close(scope) for scope in scopes]
+        return self.give([held for held in closed if held is not None])
+
+    def give(self, closed: Iterable[HandedScope]) -> HandOver:
+        """Return what the next leader of closed scopes must know.
+
+        What is still running is handed over as unknown.
         """
         now_s = self._clock.monotonic()
         self._expire(now_s)
-        handed = tuple(h for scope in scopes if (h := self._hand_scope(scope, now_s)) is not None)
-        closed = {(held.scope.shard, held.scope.key) for held in handed}
+        handed = tuple(closed)
+        places = {(held.scope.shard, held.scope.key) for held in handed}
         records = tuple(
             self._handed(record, now_s)
             for record in self._records.values()
             if not record.unsent
-            and ((record.shard, None) in closed or (record.shard, record.key) in closed)
+            and ((record.shard, None) in places or (record.shard, record.key) in places)
         )
         return HandOver(handed, records, tuple(f for f, _ in self._found.values()), now_s)
 
-    def close(self, scope: Scope) -> None:
-        """Take no more work of a scope and send nothing more of it."""
-        hold = self._hold(scope.shard, scope.key)
-        if hold is not None:
-            self._close(scope, hold)
+    def close(self, scope: Scope) -> HandedScope | None:
+        """Take no more work of a scope and send nothing more of it; none if it was not open."""
+        return self._scopes.hand(scope, self._clock.monotonic())
 
     def close_all(self) -> None:
         """Close every scope, as when the right to act has lapsed."""
-        for hold in self._holds.values():
-            hold.open = False
-        self._holds.clear()
+        self._scopes.close_all()
 
     # -- private -------------------------------------------------------------------------------
 
@@ -304,7 +305,7 @@
                     refused=full,
                 )
             )
-        return Refuse(full, max(request.quiet_s, self._next_expiry_s(now_s)))
+        return Refuse(full, max(1.0, request.quiet_s, self._expiry.next_s() - now_s))
 
     def _run(self, request: OnceRequest, identity: bytes, hold: Hold, expires_s: float) -> Run:
         needs_intent = not request.id.startswith(PREFIX)
@@ -322,71 +323,17 @@
         self._remember(record)
         return Run(record, needs_intent)
 
-    def _hold(self, shard: ShardId, key: str | None) -> Hold | None:
-        own = self._holds.get((shard, key))
-        hold = self._holds.get((shard, None)) if own is None else own
-        return hold if hold is not None and hold.open else None
-
-    def _open(self, scope: Scope, earlier: tuple[Tenure, ...], wait_until_s: float = 0.0) -> None:
-        tenures = TenureSet(self._mint.start_tenure(), earlier)
-        self._holds[scope.shard, scope.key] = Hold(tenures, wait_until_s)
-
-    def _close(self, scope: Scope, hold: Hold) -> None:
-        if scope.key is not None:
-            closed = Hold(hold.tenures, hold.unjournaled_until_s, open=False)
-            self._stop(self._holds.get((scope.shard, scope.key)))
-            self._holds[scope.shard, scope.key] = closed
-            return
-        for place in [place for place in self._holds if place[0] == scope.shard]:
-            self._stop(self._holds.pop(place))
-
-    def _stop(self, hold: Hold | None) -> None:
-        if hold is not None:
-            hold.open = False
-
-    def _hand_scope(self, scope: Scope, now_s: float) -> HandedScope | None:
-        hold = self._hold(scope.shard, scope.key)
-        if hold is None:
-            return None
-        self._close(scope, hold)
-        wait_s = max(0.0, hold.unjournaled_until_s - now_s)
-        return HandedScope(scope, hold.tenures.all(), wait_s)
-
     def _expect(self, ticket: Record, *states: RecordState) -> None:
         if ticket.state not in states:
             raise LedgerError("note", str(ticket.shard), f"record is {ticket.state.name}")
 
-    def _keep(self, ticket: Record, answer: KeptAnswer) -> None:
-        if answer.size > self._limits.max_answer_bytes:
-            return
-        ticket.answer = answer
-        self._answered[ticket.identity] = ticket
-        self._answer_bytes += answer.size
-        while self._answer_bytes > self._limits.max_answer_bytes:
-            self._drop_answer(next(iter(self._answered.values())))
-
-    def _drop_answer(self, record: Record) -> None:
-        if record.answer is not None:
-            self._answer_bytes -= record.answer.size
-            record.answer = None
-            del self._answered[record.identity]
-
     def _remember(self, record: Record) -> None:
         self._records[record.identity] = record
-        self._await_expiry(record.identity, record.expires_s)
-
-    def _await_expiry(self, identity: bytes, expires_s: float) -> None:
-        second = max(ceil(expires_s), self._swept_s + 1)
-        self._expiring_by_s.setdefault(second, []).append(identity)
-
-    def _next_expiry_s(self, now_s: float) -> float:
-        return max(1.0, min(self._expiring_by_s) - now_s)
+        self._expiry.add(record.identity, record.expires_s)
 
     def _expire(self, now_s: float) -> None:
-        while self._swept_s < int(now_s):
-            self._swept_s += 1
-            for identity in self._expiring_by_s.pop(self._swept_s, ()):
-                self._forget(identity, now_s)
+        for identity in self._expiry.sweep(now_s):
+            self._forget(identity, now_s)
 
     def _forget(self, identity: bytes, now_s: float) -> None:
         found = self._found.get(identity)
@@ -396,13 +343,13 @@
         if record is None:
             return
         if record.expires_s > now_s:
-            self._await_expiry(identity, record.expires_s)
+            self._expiry.add(identity, record.expires_s)
             return
         if record.in_progress:
             record.expires_s = now_s + 1
-            self._await_expiry(identity, record.expires_s)
+            self._expiry.add(identity, record.expires_s)
             return
-        self._drop_answer(record)
+        self._answers.drop(record)
         del self._records[identity]
 
     def _add_found(self, intents: tuple[FoundIntent, ...]) -> None:
@@ -410,7 +357,7 @@
         for intent in intents:
             expires_s = now_s + intent.resend_window_s
             self._found[intent.identity] = (intent, expires_s)
-            self._await_expiry(intent.identity, expires_s)
+            self._expiry.add(intent.identity, expires_s)
 
     def _add_handed(self, handed: HandedRecord, shard: ShardId, now_s: float) -> None:
         known = self._records.get(handed.identity)
@@ -418,7 +365,7 @@
             known.shard = shard
             return
         if known is not None:
-            self._drop_answer(known)
+            self._answers.drop(known)
         record = Record(
             handed.identity,
             shard,
@@ -431,7 +378,7 @@
         )
         self._remember(record)
         if handed.answer is not None:
-            self._keep(record, handed.answer)
+            self._answers.keep(record, handed.answer)
 
     def _handed(self, record: Record, now_s: float) -> HandedRecord:
         return HandedRecord(
