Say in status what a cell without an assignment waits for

Cause: in a trial of the packed program with one daemon that the host list did not name, status spoke of a lost majority. Change: a concern of its own, with what to look at. Measured: tests of cli pass.

--- a/libs/cli/src/fuchsiawell/cli/concerns.py
+++ b/libs/cli/src/fuchsiawell/cli/concerns.py
@@ -104,6 +104,14 @@
 
 
 def _about_members(view: CellView) -> Iterator[Concern]:
+    if view.daemons and view.overview is None:
+        yield Concern(
+            Urgency.NOW,
+            "The cell has no assignment yet, so nothing is served.",
+            "It gets one within seconds once a configuration is in force and the platform's host "
+            "list names the entry hosts and backend servers.",
+        )
+        return
     idle = [daemon for daemon in view.daemons if not daemon.has_right]
     if view.daemons and len(idle) == len(view.daemons):
         yield Concern(
--- a/libs/cli/tests/test_concerns.py
+++ b/libs/cli/tests/test_concerns.py
@@ -49,6 +49,13 @@
     assert words in str(found)
 
 
+def test_a_cell_without_an_assignment_is_told_what_it_waits_for() -> None:
+    view = replace(WELL, daemons=(daemon("d1", overview=None, has_right=False, members=()),))
+    (found,) = concerns(view)
+    assert found.urgency is Urgency.NOW
+    assert "host list names" in found.advice
+
+
 def test_a_cell_without_a_majority_needs_someone_at_once() -> None:
     view = replace(WELL, daemons=(daemon("d1", has_right=False, heard=()),))
     assert concerns(view)[0].urgency is Urgency.NOW
