Say in the demo how many never-repeat ids ran and what planned stops left unanswered

Cause: a run from a fresh clone ended with PROMISES KEPT although the rolling restart left 504 of 5,191 requests unanswered and most never-repeat ids were never run, so that the count of duplicates said little. The verdict now names both, and claims only what it counted.

--- a/libs/standins/src/fuchsiawell/standins/demo/__main__.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/__main__.py
@@ -16,7 +16,12 @@
 from fuchsiawell.standins.demo.attempts import judge
 from fuchsiawell.standins.demo.balancer import Balancer
 from fuchsiawell.standins.demo.load import DropHand, Load, ReadHand, UploadHand
-from fuchsiawell.standins.demo.report import failure_lines, phase_table, verdict_lines
+from fuchsiawell.standins.demo.report import (
+    failure_lines,
+    phase_table,
+    planned_stop_lines,
+    verdict_lines,
+)
 from fuchsiawell.standins.demo.scenario import Scenario
 from fuchsiawell.standins.demo.site import VITI_WEST, Site, SiteError
 from fuchsiawell.standins.demo.timeline import recovery_lines
@@ -115,10 +120,11 @@
     attempts = load.attempts
     verdict = judge(attempts, site.executions())
     timeline = await recovery_lines(site, scenario.phase("daemon killed"), attempts)
+    restart = scenario.phase("rolling restart")
     sections = [
         ("What callers saw", phase_table(attempts, scenario.phases)),
         ("Failures by cause", failure_lines(attempts) or ["none"]),
-        ("Planned stops", _stop_lines(scenario)),
+        ("Planned stops", [*_stop_lines(scenario), *planned_stop_lines(attempts, restart)]),
         ("Time line of the recovery from the killed daemon", timeline),
         ("Against what the backend servers recorded", verdict_lines(verdict)),
     ]
--- a/libs/standins/src/fuchsiawell/standins/demo/attempts.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/attempts.py
@@ -63,6 +63,7 @@
     wrong_answers: int
     broken_uploads: int  # answered as whole with another digest than was sent
     never_repeat_ids: int  # ids that were sent, for scale
+    never_repeat_ran: int  # ids that ran; with few, the counts of duplicates say little
     executions: int
 
     @property
@@ -98,6 +99,7 @@
         wrong_answers=sum(not attempt.upload for attempt in wrong),
         broken_uploads=sum(attempt.upload for attempt in wrong),
         never_repeat_ids=len({attempt.id for attempt in attempts if attempt.id is not None}),
+        never_repeat_ran=sum(bool(starts) for starts in starts_by_id.values()),
         executions=executed,
     )
 
--- a/libs/standins/src/fuchsiawell/standins/demo/report.py
+++ b/libs/standins/src/fuchsiawell/standins/demo/report.py
@@ -12,7 +12,7 @@
 
     from fuchsiawell.standins.demo.attempts import Attempt, Phase, Verdict
 
-__all__ = ["failure_lines", "phase_table", "verdict_lines"]
+__all__ = ["failure_lines", "phase_table", "planned_stop_lines", "verdict_lines"]
 
 SHOWN_FAILURES = 20
 SHOWN_IDS = 8
@@ -43,15 +43,23 @@
     return [f"{count:>6} x {cause}" for cause, count in causes.most_common(SHOWN_FAILURES)]
 
 
+def planned_stop_lines(attempts: Sequence[Attempt], phase: Phase) -> list[str]:
+    """Return how many requests of a phase of planned stops were not answered."""
+    counts = count_by_phase(attempts, [phase])[phase.name]
+    failed = counts.total() - counts[Ending.ANSWERED]
+    return [f"not answered meanwhile: {failed} of {counts.total()} (target 0)"]
+
+
 def verdict_lines(verdict: Verdict) -> list[str]:
     """Return what must never happen, counted."""
     return [
-        f"never-repeat ids sent: {verdict.never_repeat_ids}, executions: {verdict.executions}",
+        f"executions: {verdict.executions}; never-repeat ids sent: {verdict.never_repeat_ids}, "
+        f"of which ran: {verdict.never_repeat_ran}",
         f"ran more than once: {len(verdict.duplicates)} {_some(verdict.duplicates)}",
         f'told "not run" but ran: {len(verdict.false_not_run)} {_some(verdict.false_not_run)}',
         f"answers of another request: {verdict.wrong_answers}",
         f"uploads answered as whole but broken: {verdict.broken_uploads}",
-        "PROMISES KEPT" if verdict.kept else "PROMISES BROKEN",
+        "none of these four happened" if verdict.kept else "PROMISES BROKEN",
     ]
 
 
--- a/libs/standins/tests/demo/test_attempts.py
+++ b/libs/standins/tests/demo/test_attempts.py
@@ -33,6 +33,7 @@
     assert verdict.false_not_run == ("denied",)
     assert (verdict.wrong_answers, verdict.broken_uploads) == (1, 1)
     assert (verdict.never_repeat_ids, verdict.executions, verdict.kept) == (3, 6, False)
+    assert verdict.never_repeat_ran == 3
 
 
 def test_a_request_that_ran_only_after_it_was_refused_was_refused_truly() -> None:
--- a/libs/standins/tests/demo/test_report.py
+++ b/libs/standins/tests/demo/test_report.py
@@ -1,7 +1,12 @@
 from __future__ import annotations
 
 from fuchsiawell.standins.demo.attempts import Attempt, Ending, Phase, judge
-from fuchsiawell.standins.demo.report import failure_lines, phase_table, verdict_lines
+from fuchsiawell.standins.demo.report import (
+    failure_lines,
+    phase_table,
+    planned_stop_lines,
+    verdict_lines,
+)
 from fuchsiawell.standins.demo.timeline import caller_lines
 
 PHASE = Phase("daemon killed", 0.0, 10.0)
@@ -29,7 +34,12 @@
     ]
 
 
+def test_what_planned_stops_left_unanswered_is_told() -> None:
+    lines = planned_stop_lines(ATTEMPTS, PHASE)
+    assert lines == ["not answered meanwhile: 2 of 3 (target 0)"]
+
+
 def test_the_verdict_says_whether_the_promises_were_kept() -> None:
-    assert verdict_lines(judge(ATTEMPTS, []))[-1] == "PROMISES KEPT"
+    assert verdict_lines(judge(ATTEMPTS, []))[-1] == "none of these four happened"
     wrong = Attempt("a", "b", None, False, 0.0, 1.0, Ending.WRONG)
     assert verdict_lines(judge([wrong], []))[-1] == "PROMISES BROKEN"
