Take an upload's body only when the leader asks for it

Change: a frame by which the leader asks for the rest of a body when it begins to send; until then the entry keeps the caller waiting and may ask another leader. Measured: a test uploads 1 MB to a key that is moving: refused before, waits and is answered whole after. A shard that drains a long upload still holds up its other keys; moves of such shards are to be avoided or given up by the control side.

--- a/libs/daemon/src/fuchsiawell/daemon/entry/body.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/body.py
@@ -19,7 +19,7 @@
 class CallerBody:
     """Read a body up to `CHUNK_BYTES` before the request is forwarded, the rest after it.
 
-    A body that ended by then can be sent again; a longer one can be sent only once.
+    As long as only the first part was taken from the caller, it can be sent again.
     """
 
     def __init__(
@@ -34,6 +34,7 @@
         self.first_chunk = b""
         self._ended = False  # the caller sent all of it
         self.whole = False  # `first_chunk` is the whole body
+        self.replayable = True
 
     async def start(self) -> NotRun | None:
         """Read the first part, or say why the request is refused."""
@@ -58,8 +59,13 @@
         return None
 
     async def pump(self, exchange: ClientExchange) -> None:
-        """Send what follows the first part; a body cut by the caller is cut there too."""
+        """Send what follows the first part, once the leader asks for it.
+
+        A body cut by the caller is cut there too.
+        """
         try:
+            await exchange.accepted()
+            self.replayable = False
             while not self._ended:
                 chunk = await self._next()
                 if self._received_bytes > self._max_bytes:
--- a/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
+++ b/libs/daemon/src/fuchsiawell/daemon/entry/forward.py
@@ -61,7 +61,7 @@
     async def forward(
         self, head: RequestHead, body: CallerBody, deadline: Deadline, repeatable: bool
     ) -> Reply | Outcome:
-        """Return the leader's reply; a short body is sent again where that cannot harm."""
+        """Return the leader's reply, asked for again where that cannot harm."""
         clock = self._context.clock
         give_up_at_s = min(deadline.at_s, clock.monotonic() + RECOVERY_S)
         self._retries.count_first_try()
@@ -70,7 +70,7 @@
         while True:
             head.deadline_s = deadline.remaining_s(clock)
             reply = await self._ask(head, body)
-            again = body.whole and self._worth_asking_again(reply, repeatable)
+            again = body.replayable and self._worth_asking_again(reply, repeatable)
             if not again or clock.monotonic() + backoff_s >= give_up_at_s:
                 return reply
             await self._news_or_backoff(backoff_s)
--- a/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/sending.py
@@ -59,7 +59,10 @@
     """Send the head and the first part; return the task that sends the rest, if there is any."""
     head = exchange.head
     connection.begin(head.method, head.target, headers, first.chunk, first.end)
-    return None if first.end else asyncio.create_task(_send_body(connection, exchange))
+    if first.end:
+        return None
+    exchange.accept()
+    return asyncio.create_task(_send_body(connection, exchange))
 
 
 async def receive_answer(connection: Connection) -> ServerAnswer | Outcome:
--- a/libs/daemon/tests/entry/test_body.py
+++ b/libs/daemon/tests/entry/test_body.py
@@ -15,6 +15,10 @@
     def __init__(self) -> None:
         self.sent = b""
         self.ended = False
+        self.was_accepted = False
+
+    async def accepted(self) -> None:
+        self.was_accepted = True
 
     async def send(self, data: bytes, end: bool) -> None:
         self.sent += data
@@ -47,4 +51,6 @@
     exchange = _Exchange()
     await body.pump(cast("ClientExchange", exchange))
     assert (exchange.sent, exchange.ended) == (b"y" * 10 + b"z", True)
+    assert exchange.was_accepted
+    assert not body.replayable
     assert not body.whole
--- a/libs/daemon/tests/test_path.py
+++ b/libs/daemon/tests/test_path.py
@@ -3,10 +3,14 @@
 import asyncio
 import hashlib
 import json
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 from callers import ask, exchange
+from cell import SERVICE
+
+from fuchsiawell.ownership import ShardState
 
 if TYPE_CHECKING:
     from cell import Cell
@@ -138,3 +142,27 @@
     )
     assert answer.headers["fuchsiawell-outcome"] == "unknown"
     assert len(server.requests) == 1
+
+
+async def test_an_upload_waits_for_a_key_that_is_moving(cell: Cell) -> None:
+    def set_state(state: ShardState) -> None:
+        for application in cell.applications:
+            held = application.state.assignment
+            assert held is not None
+            shard = held.shard_for(SERVICE, "pen-1")
+            assert shard is not None
+            shards = {**held.shards_by_id, shard: replace(held.shards_by_id[shard], state=state)}
+            application.state.offer_assignment(
+                replace(held, shards_by_id=shards, revision=held.revision + 1)
+            )
+
+    set_state(ShardState.MOVING)
+    body = bytes(range(256)) * 4096
+    uploading = asyncio.create_task(
+        ask(cell.settings[1].caller_address, "/penwatch/status/pen-1", "PUT", body)
+    )
+    await asyncio.sleep(0.1)
+    assert not any(server.requests for server in cell.servers)
+    set_state(ShardState.ASSIGNED)
+    answer = await uploading
+    assert answer.body.decode().split()[1:] == [str(len(body)), hashlib.sha256(body).hexdigest()]
--- a/libs/transport/src/fuchsiawell/transport/exchange.py
+++ b/libs/transport/src/fuchsiawell/transport/exchange.py
@@ -137,6 +137,7 @@
 
     def __init__(self, link: Link, stream: int) -> None:
         super().__init__(link, stream)
+        self._accepted = False
         self.reply: asyncio.Future[AnswerHead | Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -146,6 +147,18 @@
         """Tell whether the end of the answer's body has been received."""
         return self._received_end
 
+    async def accepted(self) -> None:
+        """Wait until the other end wants the rest of the body; raise `BodyCutError`."""
+        while not self._accepted:
+            if self._cut is not None:
+                raise self._cut
+            await self._wait()
+
+    def receive_accept(self) -> None:
+        """Take the link's news that the rest of the body is wanted."""
+        self._accepted = True
+        self._wake()
+
     def receive_reply(self, reply: AnswerHead | Outcome) -> None:
         """Take the answer's head, or the outcome in its place."""
         if not self.reply.done():
@@ -177,6 +190,10 @@
         """Tell whether the whole body of the request is here."""
         return self._received_end
 
+    def accept(self) -> None:
+        """Ask for the rest of the request's body; until then the sender keeps it."""
+        self.link.send_accept(self.stream)
+
     def answer(self, head: AnswerHead, chunk: bytes, end: bool) -> None:
         """Send the answer's head with the first piece of its body, at most `CHUNK_BYTES`."""
         self.replied = True
--- a/libs/transport/src/fuchsiawell/transport/frames.py
+++ b/libs/transport/src/fuchsiawell/transport/frames.py
@@ -50,6 +50,7 @@
     CONTROL = 7  # lamport, kind, body
     PING = 8  # number
     PONG = 9  # number
+    ACCEPT = 10  # stream: the receiver wants the rest of the request's body
 
 
 @dataclass(slots=True)
--- a/libs/transport/src/fuchsiawell/transport/link.py
+++ b/libs/transport/src/fuchsiawell/transport/link.py
@@ -165,6 +165,10 @@
         lamport = self._lamport.tick()
         self._send([FrameType.OUTCOME, stream, lamport, outcome_to_wire(outcome)])
 
+    def send_accept(self, stream: int) -> None:
+        """Tell the other end that the rest of the request's body is wanted."""
+        self._send([FrameType.ACCEPT, stream])
+
     def send_cancel(self, stream: int) -> None:
         """Tell the other end that the stream was given up."""
         self._send([FrameType.CANCEL, stream])
@@ -205,6 +209,10 @@
             case [FrameType.CREDIT, stream, count]:
                 if (exchange := self._streams_by_id.get(stream)) is not None:
                     exchange.receive_credit(count)
+            case [FrameType.ACCEPT, stream]:
+                exchange = self._streams_by_id.get(stream)
+                if isinstance(exchange, ClientExchange):
+                    exchange.receive_accept()
             case [FrameType.CANCEL, stream]:
                 if (exchange := self._streams_by_id.pop(stream, None)) is not None:
                     exchange.cut("given up by the other end")
