--- a/libs/bench/src/fuchsiawell/bench/faults/world.py
+++ b/libs/bench/src/fuchsiawell/bench/faults/world.py
@@ -51,6 +51,7 @@
 DEADLINE_S = 1.0
 KEYS = 4  # of each service
 CALLERS = 2  # for each key, so that requests for it overlap
+STAGGER_S = 0.07  # between the first requests of two callers, so that they do not keep step
 PAUSE_S = 0.06  # of a caller between two requests
 SHORT_WORK_S, LONG_WORK_S = 0.02, 0.5
 LONG_EVERY = 7  # each so many requests, one is long
@@ -127,7 +128,7 @@
             daemon.start()
         for service in (CHECKED, UNCHECKED):
             for n in range(KEYS * CALLERS):
-                self._tasks.append(asyncio.create_task(self._call_forever(service, f"{n % KEYS}")))
+                self._tasks.append(asyncio.create_task(self._call_forever(service, n)))
 
     async def stop(self) -> None:
         """End everything."""
@@ -182,7 +183,9 @@
                 value = encode_assignment(held)
                 self.checker.on_held(daemon.name, held.revision, value, self.clock.monotonic())
 
-    async def _call_forever(self, service: ServiceName, name: str) -> None:
+    async def _call_forever(self, service: ServiceName, caller: int) -> None:
+        await asyncio.sleep(caller * STAGGER_S)
+        name = f"{caller % KEYS}"
         key = f"{service}/{name}"
         times = self.callers.answered_s_by_key.setdefault(key, [])
         number = 0
--- a/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/leader_loop.py
@@ -35,11 +35,14 @@
         self._peers = peers
         self._calls = calls
         self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
         self._stated: frozenset[Fact] = frozenset()
         self._stated_s = float("-inf")
 
     async def step(self) -> None:
         """Start the calls that are due and state what the controller must know."""
+        if self._stopped:
+            return
         for action in self._leader.tick(self._context.clock.monotonic()):
             task = asyncio.create_task(self._perform(action))
             self._tasks.add(task)
@@ -47,7 +50,8 @@
         self._state_facts()
 
     async def stop(self) -> None:
-        """Cancel calls and close connections."""
+        """Cancel calls and close connections; a call that ends meanwhile starts no other."""
+        self._stopped = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/libs/daemon/src/fuchsiawell/daemon/control/loops.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/loops.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from fuchsiawell.core import FuchsiawellError
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -40,6 +38,7 @@
         while True:
             try:
                 await step()
-            except (FuchsiawellError, OSError, LookupError, ValueError, TypeError) as error:
+            except Exception as error:
+                # Whatever it was: a daemon without one of its loops would look alive and do harm.
                 self._log.warning("step failed", step=name, detail=repr(error))
             await self._sleep(period_s)
