Measure the memory and speed of long bodies through a daemon

Cause: nothing measured whether a daemon streams a long body or holds it. Change: a suite `bodies`: 3 daemons and 3 backend servers as real processes, one key of reelhouse asked for through each daemon in turn, 200 MB each way; length and digest are checked, and an answer that is not 200 fails the suite. Growth is of the daemon that grew most, sampled every 20 ms, against its memory after one 50 kB body; speed is that of the slowest passage. A third run has a caller that reads nothing for 2 s. A slow backend server under an upload is not measured.

--- a/libs/bench/src/fuchsiawell/bench/__main__.py
+++ b/libs/bench/src/fuchsiawell/bench/__main__.py
@@ -12,7 +12,7 @@
 
 __all__ = ["main"]
 
-SuiteName = Literal["all", "policy", "faults", "once", "path", "takeover", "capacity"]
+SuiteName = Literal["all", "policy", "faults", "once", "path", "takeover", "capacity", "bodies"]
 
 
 def main(suite: SuiteName = "all") -> int:
--- a/libs/bench/src/fuchsiawell/bench/registry.py
+++ b/libs/bench/src/fuchsiawell/bench/registry.py
@@ -14,7 +14,7 @@
 
 __all__ = ["SUITES", "Suite", "load_suite"]
 
-SUITES = ("policy", "faults", "once", "path", "takeover", "capacity")
+SUITES = ("policy", "faults", "once", "path", "takeover", "capacity", "bodies")
 
 
 class Suite(Protocol):
