Run feed drops under issued ids; keep store calls to a share of its rates

The daemon's calls had no budget.

Changed check: the configuration's tests of contradictions set the answers they were about, which the example no longer has; they demand the same.

--- a/libs/config/src/fuchsiawell/config/questionnaire.py
+++ b/libs/config/src/fuchsiawell/config/questionnaire.py
@@ -238,8 +238,9 @@
         "while_store_is_down",
         'Only where ids_from is "caller", else null: the platform\'s store is down, so nothing '
         'can be written down before the work runs. "refuse": callers are told that it was not '
-        'run. "continue": it runs, still at most once; if an entry host is then lost as well, '
-        "its callers are refused for resend_minutes.",
+        'run. "continue": it runs, still at most once; but after any loss of an entry host its '
+        "callers are told that the outcome is unknown for resend_minutes. Work that must go on "
+        'through an outage is better served by ids_from "router".',
         '"refuse" or "continue" where ids_from is "caller", else null; "continue" only where '
         'servers_check_who_orders is "yes"',
         TypeAdapter[Any](StoreOutage | None),
--- a/libs/config/tests/test_answers.py
+++ b/libs/config/tests/test_answers.py
@@ -17,6 +17,8 @@
 
 def document() -> dict[str, Any]:
     found: dict[str, Any] = json.loads((EXAMPLES / "viti-west/answers.json").read_text())
+    drop = found["services"][1]["kinds"][0]  # as a site whose callers choose the ids has it
+    drop |= {"ids_from": "caller", "while_store_is_down": "continue"}
     return found
 
 
--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -24,7 +24,8 @@
 if TYPE_CHECKING:
     from fuchsiawell.core import DaemonId
     from fuchsiawell.daemon.context import Context
-    from fuchsiawell.platform import HostList, Store
+    from fuchsiawell.daemon.stores import Stores
+    from fuchsiawell.platform import HostList
     from fuchsiawell.transport import ServerExchange
 
 __all__ = ["Application"]
@@ -33,23 +34,23 @@
 class Application(LinkHooks, StatusSource):
     """Start the parts in order, run until told to stop, and stop them in reverse."""
 
-    def __init__(self, context: Context, store: Store, hosts: HostList | None = None) -> None:
+    def __init__(self, context: Context, stores: Stores, hosts: HostList | None = None) -> None:
         """Without a host list, ownership is as the store's record says; for tests of the path."""
         self._context = context
         settings = context.settings
         own, clock, lamport = settings.daemon, context.clock, context.lamport
         self.state = CellState()
-        self._store = store
-        self._reader = RecordReader(context, self.state, self._store)
+        self._stores = stores
+        self._reader = RecordReader(context, self.state, stores.control)
         self._listener = PeerListener(own, clock, lamport, self)
         self._peers = Peers(own, clock, lamport, self)
-        self.control = (
-            None if hosts is None else Control(context, self.state, self._peers, store, hosts)
-        )
+        self.control: Control | None = None
+        if hosts is not None:
+            self.control = Control(context, self.state, self._peers, stores.control, hosts)
         fixed = AssignedAuthority(own, self.state)
         authority = fixed if self.control is None else self.control.authority
-        self._once = OnceService(context, self.state, store, authority, self._peers)
-        self._crashes = Crashes(context, self.state, store, self._peers)
+        self._once = OnceService(context, self.state, stores.work, authority, self._peers)
+        self._crashes = Crashes(context, self.state, stores.work, self._peers)
         self._leader = LeaderService(context, self.state, authority, self._once, self._crashes)
         loopback = open_loopback(own, clock, lamport, self)
         forwarder = Forwarder(context, self.state, self._peers, loopback)
@@ -99,7 +100,7 @@
         await self._leader.close()
         await self._peers.close()
         await self._listener.close()
-        await self._store.close()
+        await self._stores.close()
         await self._operators.stop()
         self._context.log.event("stopped")
 
@@ -143,4 +144,8 @@
 
     def metrics(self) -> dict[str, Any]:
         """Return counts and latencies."""
-        return {"in_flight": self._entry.in_flight, **self._entry.metrics.to_json()}
+        return {
+            "in_flight": self._entry.in_flight,
+            **self._entry.metrics.to_json(),
+            "store_calls": self._stores.to_json(),
+        }
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
@@ -6,13 +6,13 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from fuchsiawell.config import IdStyle, StoreOutage
+from fuchsiawell.config import IdStyle
 from fuchsiawell.core import Answered, NotRun, NotRunReason, Step, Unknown
 from fuchsiawell.daemon.http_fields import field
 from fuchsiawell.daemon.leader.once_answers import id_offer, reply_kept
 from fuchsiawell.daemon.leader.once_hand_over import HandOvers
 from fuchsiawell.daemon.leader.once_scopes import OnceScopes
-from fuchsiawell.daemon.leader.once_windows import lingers_s, window_s
+from fuchsiawell.daemon.leader.once_windows import lingers_s, runs_unjournaled, window_s
 from fuchsiawell.once import (
     ANONYMOUS,
     Attempt,
@@ -134,7 +134,7 @@
 
     def _request(self, call: OnceCall) -> OnceRequest:
         head, kind = call.exchange.head, call.kind
-        continues = kind.store_outage is StoreOutage.CONTINUE
+        continues = runs_unjournaled(kind)
         return OnceRequest(
             head.service,
             head.key,
--- a/libs/daemon/src/fuchsiawell/daemon/run.py
+++ b/libs/daemon/src/fuchsiawell/daemon/run.py
@@ -11,7 +11,8 @@
 from fuchsiawell.core import LamportClock, RandomIds, SystemClock, open_event_log
 from fuchsiawell.daemon.application import Application
 from fuchsiawell.daemon.context import Context
-from fuchsiawell.platform import HttpHostList, HttpStore
+from fuchsiawell.daemon.stores import Stores
+from fuchsiawell.platform import HttpHostList
 
 if TYPE_CHECKING:
     from fuchsiawell.config import Settings
@@ -29,10 +30,11 @@
     lamport = LamportClock()
     level = getattr(logging, settings.log_level.value.upper())
     log = open_event_log(settings.daemon, clock, lamport, level)
-    context = Context(settings, clock, lamport, log, RandomIds(), Random())
-    store = HttpStore(settings.store_url.removeprefix("http://"))
+    random = Random()
+    context = Context(settings, clock, lamport, log, RandomIds(), random)
+    stores = Stores.open(settings.store_url.removeprefix("http://"), clock, random)
     hosts = HttpHostList(settings.host_list_url.removeprefix("http://"))
-    application = Application(context, store, hosts)
+    application = Application(context, stores, hosts)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, application.request_stop)
