Measure silent connections; distrust all to a server after one

The calls for grants went through one idle connection after the other, 0.3 s each, until the grants had lapsed and the server was given up. Change: a client for each server; a call without an answer closes its idle connections. The suite puts relays before servers and daemons and silences each in turn.

--- a/libs/bench/src/fuchsiawell/bench/__main__.py
+++ b/libs/bench/src/fuchsiawell/bench/__main__.py
@@ -12,7 +12,9 @@
 
 __all__ = ["main"]
 
-SuiteName = Literal["all", "policy", "faults", "once", "path", "takeover", "capacity", "bodies"]
+SuiteName = Literal[
+    "all", "policy", "faults", "once", "path", "takeover", "capacity", "bodies", "silence"
+]
 
 
 def main(suite: SuiteName = "all") -> int:
--- a/libs/bench/src/fuchsiawell/bench/registry.py
+++ b/libs/bench/src/fuchsiawell/bench/registry.py
@@ -14,7 +14,7 @@
 
 __all__ = ["SUITES", "Suite", "load_suite"]
 
-SUITES = ("policy", "faults", "once", "path", "takeover", "capacity", "bodies")
+SUITES = ("policy", "faults", "once", "path", "takeover", "capacity", "bodies", "silence")
 
 
 class Suite(Protocol):
--- a/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
+++ b/libs/daemon/src/fuchsiawell/daemon/control/server_calls.py
@@ -75,16 +75,13 @@
     def __init__(self, own_id: DaemonId) -> None:
         self._own_id = own_id
         self._releases_by_server: dict[ServerId, asyncio.Semaphore] = {}
-        config = PoolConfig(size=CONNECTIONS, max_conn_idle_ms=MAX_IDLE_MS)
-        self._client = HTTPClient(
-            TCPConnector(pool_configs={":default": config}, connection_cls=_FreshConnection),
-            trust_env=False,
-            follow=False,
-        )
+        self._clients_by_address: dict[str, HTTPClient] = {}
 
     async def close(self) -> None:
         """Close connections."""
-        await self._client.aclose()
+        for client in self._clients_by_address.values():
+            await client.aclose()
+        self._clients_by_address.clear()
 
     async def perform(self, action: Action) -> Event:
         """Make one call and return what came of it."""
@@ -147,16 +144,33 @@
     ) -> _Answer | None:
         """Return the answer, `None` without a whole one in time."""
         url = f"http://{address}{path}"
+        client = self._client(address)
         try:
             async with asyncio.timeout(timeout_s):
                 if fields is None:
-                    response = await self._client.get(url)
+                    response = await client.get(url)
                 else:
-                    response = await self._client.post(url, json=fields)
+                    response = await client.post(url, json=fields)
                 return _Answer(response.status_code, _fields(await response.content()))
-        except CALL_ERRORS:  # TimeoutError is an OSError
+        except TimeoutError:
+            # What made one connection silent may have struck the idle ones to this server too.
+            await client.aclose()
+            return None
+        except CALL_ERRORS:
             return None
 
+    def _client(self, address: str) -> HTTPClient:
+        client = self._clients_by_address.get(address)
+        if client is None:
+            config = PoolConfig(size=CONNECTIONS, max_conn_idle_ms=MAX_IDLE_MS)
+            client = HTTPClient(
+                TCPConnector(pool_configs={":default": config}, connection_cls=_FreshConnection),
+                trust_env=False,
+                follow=False,
+            )
+            self._clients_by_address[address] = client
+        return client
+
 
 def _grant_event(
     action: InstallGrant | RenewGrant,
