--- a/libs/daemon/src/fuchsiawell/daemon/application.py
+++ b/libs/daemon/src/fuchsiawell/daemon/application.py
@@ -92,6 +92,8 @@
             await self.control.leave()
         await self._callers.stop()
         await self._leader.drain()
+        if self.control is not None:
+            await self._once.handed_over()
         await self._once.stop()
         await self._crashes.stop()
         await self._reader.stop()
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_hand_over.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_hand_over.py
@@ -25,7 +25,7 @@
 
 __all__ = ["HAND_OVER_KINDS", "HandOverKind", "HandOvers"]
 
-WAIT_S = 0.25  # for the answers of all other members, before the journals are read
+WAIT_S = 0.25  # for the answers of all other daemons, before the journals are read
 MAX_MESSAGE_BYTES = 3_000_000  # a larger hand-over is not sent; its ids end as unknown
 
 
@@ -66,6 +66,11 @@
         """Keep what a later leader may ask for, of a shard that was open under `fence`."""
         self._closed[shard] = (fence, held)
 
+    @property
+    def waiting(self) -> bool:
+        """Tell whether a shard was closed whose next leader has not asked for it yet."""
+        return bool(self._closed)
+
     async def ask(self, wanted: dict[ShardId, Fence]) -> dict[ShardId, HandOver]:
         """Return what direct predecessors hand over of the shards, within `WAIT_S`."""
         self._number += 1
@@ -74,7 +79,7 @@
             [shard.service, shard.index, fence.server, fence.term, fence.epoch]
             for shard, fence in wanted.items()
         ]
-        self._awaited = self._send_to_members(HandOverKind.WANTED, [self._number, *shards])
+        self._awaited = self._send_to_peers(HandOverKind.WANTED, [self._number, *shards])
         for shard in wanted:
             self._take_own(shard)
         if self._awaited:
@@ -132,16 +137,16 @@
                     fitting[held.scope.shard] = given
         return fitting
 
-    def _send_to_members(self, kind: str, body: list[Any]) -> set[DaemonId]:
-        assignment = self._state.assignment
+    def _send_to_peers(self, kind: str, body: list[Any]) -> set[DaemonId]:
+        """Send to all that can be reached: one that is leaving is no member any more."""
         reached: set[DaemonId] = set()
-        if assignment is None or self._peers is None:
+        if self._peers is None:
             return reached
-        for member in assignment.members:
-            link = self._peers.ready_link(member)
-            if link is not None and member != self._context.settings.daemon:
+        for peer in self._peers.addresses():
+            link = self._peers.ready_link(peer)
+            if link is not None and peer != self._context.settings.daemon:
                 link.send_control(kind, body)
-                reached.add(member)
+                reached.add(peer)
         return reached
 
 
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_scopes.py
@@ -76,6 +76,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._ledger.close_all()
 
+    @property
+    def any_open(self) -> bool:
+        """Tell whether the ledger is open for any shard."""
+        return bool(self._fence_by_shard)
+
     def is_open_under(self, shard: ShardId, fence: Fence) -> bool:
         """Tell whether the ledger was opened under just this fence."""
         return self._fence_by_shard.get(shard) == fence
--- a/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
+++ b/libs/daemon/src/fuchsiawell/daemon/leader/once_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
@@ -43,6 +44,10 @@
 __all__ = ["OnceCall", "OnceService"]
 
 
+HAND_OVER_S = 1.5
+HAND_OVER_POLL_S = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class OnceCall:
     """Hold one copy of a never-repeat request as it reached the leader."""
@@ -90,6 +95,18 @@
         """Begin to open scopes."""
         self._scopes.start()
 
+    async def handed_over(self) -> None:
+        """Wait, a bounded time, until the next leaders have asked for all that is known here.
+
+        They ask once their own grants are in force, a little after leadership was given away.
+        """
+        give_up_at_s = self._context.clock.monotonic() + HAND_OVER_S
+        while self._scopes.any_open or self._hand_overs.waiting:
+            if self._context.clock.monotonic() >= give_up_at_s:
+                self._context.log.warning("left without all hand-overs", step="leave")
+                return
+            await asyncio.sleep(HAND_OVER_POLL_S)
+
     async def stop(self) -> None:
         """Close the ledger and the journal, once no request is left."""
         await self._scopes.stop()
