Answer a request whose serving met somebody else's broken connection or cancellation

Cause: a ConnectionError or CancelledError out of the path of a request was always taken for the client's leaving, so that the connection was closed without an answer or a line; and the close of idle connections at a stop also closed those on which a head had begun to arrive. Now the client counts as gone only if its connection ended or the task was cancelled from outside; anything else is a 502 and a line. A client that leaves is a line with the request's id, and errors while an answer is written are logged with the peer.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/front.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/front.py
@@ -43,7 +43,7 @@
         self._relay = relay
         self._protocol = protocol
         self._tasks: set[asyncio.Task[None]] = set()
-        self._idle: set[Channel] = set()
+        self._idle: dict[Channel, ServerConnection] = {}
         self._all_answered = asyncio.Event()
         self.busy = 0
 
@@ -54,9 +54,10 @@
         task.add_done_callback(self._tasks.discard)
 
     def close_idle(self) -> None:
-        """Close connections on which no request is being served."""
-        for channel in list(self._idle):
-            channel.close()
+        """Close connections on which no request is being served or has begun to arrive."""
+        for channel, connection in list(self._idle.items()):
+            if not connection.begun:
+                channel.close()
 
     async def wait_idle(self, limit_s: float) -> None:
         """Wait until no request is being served, at most `limit_s` seconds."""
@@ -73,14 +74,14 @@
         connection = ServerConnection(channel, self._limits())
         try:
             while True:
-                self._idle.add(channel)
+                self._idle[channel] = connection
                 try:
                     head = await connection.next_request()
                 except BadRequestError as error:
                     await self._refuse_form(connection, error)
                     return
                 finally:
-                    self._idle.discard(channel)
+                    self._idle.pop(channel, None)
                 if head is None:
                     return
                 self.busy += 1
@@ -94,6 +95,10 @@
         except (ConnectionError, asyncio.CancelledError):
             # The client left; what was sent for it has been reset.
             self._session.metrics.count("clients_gone")
+        except Exception as error:
+            self._session.log.warning(
+                "internal error", step="answer", peer=channel.peer, error=repr(error)
+            )
         finally:
             channel.close()
 
@@ -112,26 +117,11 @@
         limit = configuration.limits.body_bytes if configuration else FIRST_BODY_BYTES
         body = Body(connection, limit)
         request = self._relay.accept(head, body, started_s)
-        result: Answer | Refusal
-        if isinstance(request, Refusal):
-            result = request
-        else:
-            try:
-                async with asyncio.timeout(request.due_s - session.now_s):
-                    await body.hold()
-                result = await self._relay.serve(request)
-            except TimeoutError:
-                result = timed_out("the body did not arrive in time")
-            except BadRequestError as error:
-                result = Refusal(error.status, str(error))
-            except ConnectionError:
-                raise
-            except Exception as error:
-                # A fault of our own must not end the connection without an answer, nor go unseen.
-                session.log.warning(
-                    "internal error", request=request.request_id, step="serve", error=repr(error)
-                )
-                result = failed("internal error")
+        try:
+            result = await self._result(request, channel)
+        except (ConnectionError, asyncio.CancelledError):
+            self._record_left(request, session.now_s - started_s)
+            raise
         channel.on_gone = None
         last = session.stopping or not connection.body_done
         await self._send(connection, request, result, last)
@@ -140,6 +130,37 @@
             await self._drop_rest(connection)
         return not last
 
+    async def _result(self, request: Arrived | Refusal, channel: Channel) -> Answer | Refusal:
+        """Return what the client is told; raises only when the client has left."""
+        if isinstance(request, Refusal):
+            return request
+        session = self._session
+        try:
+            try:
+                async with asyncio.timeout(request.due_s - session.now_s):
+                    await request.body.hold()
+            except TimeoutError:
+                return timed_out("the body did not arrive in time")
+            return await self._relay.serve(request)
+        except BadRequestError as error:
+            return Refusal(error.status, str(error))
+        except asyncio.CancelledError as error:
+            if _cancelled_from_outside():
+                raise
+            return self._internal_error(request, error)
+        except Exception as error:
+            # A broken connection is the client's only if the client has left.
+            if isinstance(error, ConnectionError) and channel.ended:
+                raise
+            return self._internal_error(request, error)
+
+    def _internal_error(self, request: Arrived, error: BaseException) -> Refusal:
+        """Answer a fault of our own: it must neither go unseen nor leave the client waiting."""
+        self._session.log.warning(
+            "internal error", request=request.request_id, step="serve", error=repr(error)
+        )
+        return failed("internal error")
+
     async def _send(
         self,
         connection: ServerConnection,
@@ -201,6 +222,17 @@
             ),
         )
 
+    def _record_left(self, request: Arrived | Refusal, took_s: float) -> None:
+        if isinstance(request, Refusal):
+            return
+        self._session.requests_log.write(
+            "client left",
+            request=request.request_id,
+            route=request.route.name,
+            tries=len(request.tried),
+            took_ms=round(took_s * 1000),
+        )
+
     def _limits(self) -> HeadLimits:
         configuration = self._session.configuration
         if configuration is None:
@@ -213,5 +245,11 @@
         )
 
 
+def _cancelled_from_outside() -> bool:
+    """Return whether the running task was told to stop, rather than something it awaited."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -80,6 +80,12 @@
         """Let senders go on."""
         self._writable.set()
 
+    @property
+    def peer(self) -> str:
+        """The other side's address, empty before the connection is made."""
+        name = self._transport.get_extra_info("peername") if self._transport else None
+        return f"{name[0]}:{name[1]}" if name else ""
+
     @property
     def ended(self) -> bool:
         """Whether the peer will send nothing more."""
--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -94,6 +94,11 @@
         """The head of the request that is being served."""
         return self._head
 
+    @property
+    def begun(self) -> bool:
+        """Whether bytes of a next request have arrived."""
+        return self.channel.unread > 0 or bool(self._parser.trailing_data[0])
+
     @property
     def body_length(self) -> int | None:
         """The announced length of the body, 0 without one, None for chunks."""
