Group load reports and news of the store by hubs where daemons are many

Change: above 24 daemons, groups within zones with the two strongest as hubs; followers report to a hub, hubs to each other, totals come back; followers take news of the store from their hub over TCP and watch it themselves when the hub fails them; the granter always watches. Daemon leases of 9 s, kept every 3 s. Weak hosts let strong ones grant. Idle connections kept to a server shrink with the number of daemons; among like servers one with an open connection goes first. Waits are measured only while requests wait, and believed for 2 s. Ruled out: one hot key of some 125 requests/s at a server that does 12/s binds what is left there; 591 answers 502 came of servers that reset connections while their queue is long. Removed: settings that nothing read, Directory.replace_all and mark_draining with their test (a listing that lacks servers is tested with the follower), the cold time of an entry, which nothing used.

--- a/libs/balance/src/fuchsiawell/balance/choice.py
+++ b/libs/balance/src/fuchsiawell/balance/choice.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
     from random import Random
 
     from fuchsiawell.balance.estimates import Estimates
@@ -23,6 +23,8 @@
 # What a byte that crosses zones is worth in seconds of latency: at the users' prices a crossing
 # upload of 60 KB costs about as much as a quarter of a second.
 CROSSING_S_PER_BYTE = 4e-6
+# What a new connection is worth in seconds of latency, by the same prices.
+CONNECTION_S = 0.03
 # Latency of a crossing itself, there and back, in seconds.
 CROSSING_S = 0.003
 
@@ -56,6 +58,8 @@
         self._loads = loads
         self._outliers = outliers
         self._random = random
+        # Whether a connection to a server is open already; the path of a request knows.
+        self.connected: Callable[[Backend], bool] = lambda _: True
 
     def choose(
         self,
@@ -82,6 +86,8 @@
             cost = expect_s / max(0.05, 1.0 - self._outliers.failure_share(backend.id)) ** 2
             if backend.zone != self._zone:
                 cost += CROSSING_S + size_bytes * CROSSING_S_PER_BYTE
+            if not self.connected(backend):
+                cost += CONNECTION_S
             # Equal costs are drawn, so that daemons do not all choose the same server.
             cost *= self._random.uniform(1.0, 1.1)
             if cost < best_cost:
--- a/libs/balance/src/fuchsiawell/balance/loads.py
+++ b/libs/balance/src/fuchsiawell/balance/loads.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
 __all__ = ["Loads", "short_id"]
 
@@ -51,8 +51,27 @@
         """Return this daemon's counts for the others."""
         return {short_id(backend_id): count for backend_id, count in self._own.items()}
 
+    def together(self, sources: Collection[str]) -> dict[int, int]:
+        """Return this daemon's counts and those of some other sources, added up."""
+        total = self.report()
+        for source in sources:
+            if source in self._reports:
+                _add(total, self._reports[source][1])
+        return total
+
+    def everything(self) -> dict[int, int]:
+        """Return all that is known, added up."""
+        total = self.report()
+        _add(total, self._others)
+        return total
+
+    def forget(self, source: str) -> None:
+        """Drop what a source reported: it comes by another way now."""
+        if self._reports.pop(source, None) is not None:
+            self._sum(max((at_s for at_s, _ in self._reports.values()), default=0.0))
+
     def heard(self, daemon: str, counts: Mapping[int, int], now_s: float) -> None:
-        """Take another daemon's counts."""
+        """Take the counts of another daemon, or of several together."""
         self._reports[daemon] = (now_s, counts)
         self._sum(now_s)
 
@@ -69,5 +88,9 @@
         }
         self._others = {}
         for _, counts in self._reports.values():
-            for key, count in counts.items():
-                self._others[key] = self._others.get(key, 0) + count
+            _add(self._others, counts)
+
+
+def _add(total: dict[int, int], counts: Mapping[int, int]) -> None:
+    for key, count in counts.items():
+        total[key] = total.get(key, 0) + count
--- a/libs/balance/src/fuchsiawell/balance/waiting.py
+++ b/libs/balance/src/fuchsiawell/balance/waiting.py
@@ -17,6 +17,9 @@
 LONGEST_LIST = 600
 # Weight of a new sample in the time between two places that became free.
 SAMPLE_WEIGHT = 0.1
+# Seconds for which the measured time is believed: were it kept, requests refused for it would never
+# wait, so that nothing would be measured again.
+GAP_LIFE_S = 2.0
 
 
 @dataclass(order=True)
@@ -46,7 +49,8 @@
         self._late: list[Waiter] = []
         self._order = count()
         self._gap_s: float | None = None
-        self._last_start_s: float | None = None
+        self._measured_s = float("-inf")
+        self._last_start_s = float("-inf")
         self._live: Counter[tuple[bool, int]] = Counter()
         self._total = 0
 
@@ -54,9 +58,9 @@
         """Return how many wait."""
         return self._total
 
-    def wait_s(self, priority: int, late: bool = False) -> float:
-        """Return how long a new request of this rank would wait, in seconds."""
-        if self._gap_s is None:
+    def wait_s(self, priority: int, now_s: float, late: bool = False) -> float:
+        """Return how long a new request of this rank would wait, in seconds; 0 if nobody knows."""
+        if self._gap_s is None or now_s - self._measured_s > GAP_LIFE_S:
             return 0.0
         ahead = sum(
             number
@@ -65,15 +69,19 @@
         )
         return (ahead + 1) * self._gap_s
 
-    def started(self, now_s: float, waited: bool) -> None:
-        """Note that a request got a place; gaps count only while requests wait."""
-        if waited and self._last_start_s is not None:
-            gap_s = now_s - self._last_start_s
-            self._gap_s = (
-                gap_s
-                if self._gap_s is None
-                else self._gap_s + SAMPLE_WEIGHT * (gap_s - self._gap_s)
-            )
+    def started(self, now_s: float, waited_since_s: float | None = None) -> None:
+        """Note that a request got a place; gaps count only while requests wait.
+
+        Where many daemons share a server, each sends it a request now and then: the time before
+        the request began to wait says nothing of how long places take to become free.
+        """
+        if waited_since_s is not None:
+            gap_s = now_s - max(waited_since_s, self._last_start_s)
+            if self._gap_s is None or now_s - self._measured_s > GAP_LIFE_S:
+                self._gap_s = gap_s
+            else:
+                self._gap_s += SAMPLE_WEIGHT * (gap_s - self._gap_s)
+            self._measured_s = now_s
         self._last_start_s = now_s
 
     def add(
--- a/libs/balance/tests/test_choice.py
+++ b/libs/balance/tests/test_choice.py
@@ -67,3 +67,11 @@
     assert choose(chooser, both, size=60_000) == "near"
     loads.started("near")
     assert choose(chooser, both, size=60_000) == "far"
+
+
+def test_among_like_servers_one_with_an_open_connection_is_chosen(parts) -> None:
+    """Load pattern: many daemons with few requests each, which would open one for each."""
+    chooser, _, _, _ = parts
+    chooser.connected = lambda server: server.id == "open"
+    both = [backend("closed"), backend("open")]
+    assert Counter(choose(chooser, both) for _ in range(50)) == {"open": 50}
--- a/libs/balance/tests/test_loads.py
+++ b/libs/balance/tests/test_loads.py
@@ -28,3 +28,14 @@
     assert loads.total("s") == 3
     loads.expire(1.5)
     assert loads.total("s") == 0
+
+
+def test_sources_can_be_added_up_for_another_daemon() -> None:
+    loads = Loads()
+    loads.started("s")
+    loads.heard("d-2", {short_id("s"): 3}, 0.0)
+    loads.heard("d-3", {short_id("t"): 1}, 0.0)
+    assert loads.together(["d-2", "d-unknown"]) == {short_id("s"): 4}
+    assert loads.everything() == {short_id("s"): 4, short_id("t"): 1}
+    loads.forget("d-2")
+    assert loads.everything() == {short_id("s"): 1, short_id("t"): 1}
--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -10,7 +10,10 @@
 
 from fuchsiawell.gateway.control.follower import Follower
 from fuchsiawell.gateway.control.granter import Granter
+from fuchsiawell.gateway.control.hubs import Hubs
+from fuchsiawell.gateway.control.load_reports import LoadReports
 from fuchsiawell.gateway.control.membership import Membership
+from fuchsiawell.gateway.control.news_relay import NewsRelay
 from fuchsiawell.gateway.control.peers import Peers
 from fuchsiawell.gateway.control.upkeep import Upkeep
 from fuchsiawell.gateway.execute.attempt import Attempts
@@ -53,12 +56,18 @@
     ) -> None:
         self._session = session
         self._reload = reload
-        self._pools = Pools(session.clock)
+        self._pools = Pools(session.clock, lambda: session.daemons)
         self._peers = Peers(session)
         self._follower = Follower(session, store, records)
+        self._hubs = Hubs(session)
+        self._load_reports = LoadReports(session, self._peers, self._hubs)
+        self._peers.on_loads = self._load_reports.apply
+        self._relay = NewsRelay(session)
+        self._follower.follow_hubs(self._hubs, self._relay)
         self._membership = Membership(session, store)
         self._granter = Granter(session, store, protocol, self._peers)
         self._follower.on_granter = self._granter.look
+        session.chooser.connected = lambda b: self._pools.has_idle(f"{b.id}/{b.born}")
         relay = Relay(
             session,
             protocol,
@@ -101,6 +110,7 @@
         for address, accept in (
             (settings.readiness, self._readiness.accept),
             (settings.metrics, self._metrics.accept),
+            (settings.peers, self._relay.accept),
             (settings.clients, self._front.accept),
         ):
             await self._listen(address, accept)
@@ -108,7 +118,7 @@
             self._follower.run(),
             self._membership.run(),
             self._granter.run(),
-            self._peers.report_loads(),
+            self._load_reports.run(),
             self._peers.report_keys(),
             self._upkeep.run(),
         ):
@@ -132,6 +142,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._membership.leave()
+        self._relay.close()
         self._pools.close()
         self._peers.close()
         self.end()  # type: ignore[attr-defined]
@@ -142,6 +153,7 @@
             server.close()
         for task in self._tasks:
             task.cancel()
+        self._relay.close()
         self._peers.close()
         self._pools.close()
 
--- a/libs/gateway/src/fuchsiawell/gateway/config/settings.py
+++ b/libs/gateway/src/fuchsiawell/gateway/config/settings.py
@@ -37,11 +37,11 @@
     # Where other daemons reach this one, and where it serves metrics.
     peers: Address
     metrics: Address
-    # Time between two heartbeats of a backend server to the platform's store.
-    heartbeat: timedelta
     # How long a backend server keeps serving after it said that it leaves.
     drain: timedelta
     # From the order to stop until the process is killed.
     stop_grace: timedelta
-    longest_grant: timedelta
     retries: RetryRules
+    # What the host bears: processor time in cores, and its link in Mbit/s.
+    cores: float = 1.0
+    link_mbit_s: float = 1000.0
--- a/libs/gateway/src/fuchsiawell/gateway/control/follower.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/follower.py
@@ -12,14 +12,17 @@
     SHARDS_PREFIX,
     decode_peer,
 )
+from fuchsiawell.gateway.control.news_feed import FeedLostError, NewsFeed
 from fuchsiawell.gateway.ports import HistoryLostError, StoreUnavailableError
 from fuchsiawell.shards import decode_map
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fuchsiawell.gateway.control.hubs import Hubs
+    from fuchsiawell.gateway.control.news_relay import NewsRelay
     from fuchsiawell.gateway.ports import Item, Records, Store
-    from fuchsiawell.gateway.session.state import Session
+    from fuchsiawell.gateway.session.state import Peer, Session
 
 __all__ = ["Follower"]
 
@@ -32,6 +35,9 @@
 # Pause after changes that were known from other daemons already: keys that move change the record
 # every second or so on a busy day, and each change would cost a call of every daemon.
 KNOWN_REARM_S = 0.9
+# Time for which a daemon watches the store itself after its hub failed it, in seconds: hubs that
+# lost the store have found out by then.
+ALONE_S = 3.0
 # Pauses after a failed call, in seconds.
 FIRST_RETRY_S, LAST_RETRY_S = 0.1, 0.6
 
@@ -46,8 +52,16 @@
         self._as_of: int | None = None
         self._config_revision = 0
         self._away = False
+        self._hubs: Hubs | None = None
+        self._relay: NewsRelay | None = None
+        self._feed = NewsFeed(session.settings.daemon)
+        self._watch_until_s = 0.0
         self.on_granter: Callable[[], None] | None = None
 
+    def follow_hubs(self, hubs: Hubs, relay: NewsRelay) -> None:
+        """Take news from the hub where there is one, and pass all news on to `relay`."""
+        self._hubs, self._relay = hubs, relay
+
     async def run(self) -> None:
         """List once, then watch for ever."""
         retry_s = FIRST_RETRY_S
@@ -60,6 +74,8 @@
             except HistoryLostError:
                 self._session.log.event("store history lost", step="watch", as_of=self._as_of)
                 self._as_of = None
+                if self._relay is not None:
+                    self._relay.out_of_touch()
             except StoreUnavailableError as error:
                 self._lost(error)
                 await asyncio.sleep(retry_s * self._session.random.uniform(0.7, 1.3))
@@ -85,17 +101,44 @@
         for item in listing.items:
             self._apply(item)
         self._as_of = listing.as_of
+        if self._relay is not None:
+            self._relay.begin(listing.as_of)
         session.log.event("store listed", items=len(listing.items), as_of=listing.as_of)
 
     async def _watch_once(self) -> None:
         assert self._as_of is not None
-        events = await self._store.watch("", self._as_of, WATCH)
+        hub = self._hub()
+        if hub is None:
+            events = await self._store.watch("", self._as_of, WATCH)
+        else:
+            try:
+                events = await self._feed.next(hub, self._as_of)
+            except FeedLostError as error:
+                self._leave_hub(error)
+                return
         self._contact()
         urgent = any([self._apply(item) for item in events.items])
         self._as_of = max(self._as_of, events.as_of)
-        if events.items:
+        if self._relay is not None:
+            self._relay.publish(events)
+        if events.items and hub is None:
             await asyncio.sleep(REARM_S if urgent else KNOWN_REARM_S)
 
+    def _hub(self) -> Peer | None:
+        """Return the daemon to take news from; None: watch the store, as a granter always does."""
+        session = self._session
+        if self._hubs is None or session.granter == session.settings.daemon:
+            return None
+        return self._hubs.hub if session.now_s >= self._watch_until_s else None
+
+    def _leave_hub(self, error: FeedLostError) -> None:
+        assert self._hubs is not None
+        self._session.log.warning(
+            "news feed lost", step=error.step, peer=error.peer, reason=error.reason
+        )
+        self._watch_until_s = self._session.now_s + ALONE_S
+        self._hubs.give_up("no news")
+
     def _contact(self) -> None:
         self._session.store_contact_s = self._session.now_s
         if self._away:
@@ -111,6 +154,8 @@
             self._session.log.warning(
                 "store lost", step=error.step, peer=error.peer, reason=error.reason
             )
+            if self._relay is not None:
+                self._relay.out_of_touch()
 
     def _apply(self, item: Item) -> bool:
         """Take an item; returns whether it was news."""
--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -27,6 +27,9 @@
 KEEP_S = 0.3
 # Longest random pause before a daemon tries to become granter, so that few try at a time.
 SPREAD_S = 0.1
+# A host that bears less than this part of what the strongest bears lets others go first, by this
+# time in seconds: two rounds of tries of the others.
+WEAK_PART, WEAK_WAIT_S = 0.7, 0.2
 # Pause between looks when nothing calls for one, in seconds.
 IDLE_S = 0.5
 
@@ -72,7 +75,7 @@
                         await self._vacant.wait()
                 except TimeoutError:
                     continue
-            await asyncio.sleep(SPREAD_S * self._session.random.random())
+            await asyncio.sleep(self._head_start_s())
 
     async def stop(self) -> None:
         """Hand over before a planned stop."""
@@ -135,6 +138,13 @@
                 session.granter = None
             await self._store.end_lease(lease)
 
+    def _head_start_s(self) -> float:
+        """Return a pause that lets hosts which bear more go first."""
+        session = self._session
+        most = max((peer.strength for peer in session.peers_by_name.values()), default=0.0)
+        weak = session.me.strength < WEAK_PART * most
+        return SPREAD_S * session.random.random() + (WEAK_WAIT_S if weak else 0.0)
+
     def _services(self) -> list[str]:
         configuration = self._session.configuration
         if configuration is None:
--- a/libs/gateway/src/fuchsiawell/gateway/control/keys.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/keys.py
@@ -24,7 +24,8 @@
 
 def encode_peer(peer: Peer) -> bytes:
     """Return a daemon's entry."""
-    return bytes(msgpack.packb([peer.name, peer.start, peer.host, peer.port]))
+    row = [peer.name, peer.start, peer.host, peer.port, peer.zone, peer.strength]
+    return bytes(msgpack.packb(row))
 
 
 def decode_peer(value: bytes) -> Peer:
--- a/libs/gateway/src/fuchsiawell/gateway/control/membership.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/membership.py
@@ -8,7 +8,6 @@
 
 from fuchsiawell.gateway.control.keys import DAEMONS_PREFIX, encode_peer
 from fuchsiawell.gateway.ports import LeaseEndedError, StoreUnavailableError, Write
-from fuchsiawell.gateway.session.state import Peer
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.ports import Store
@@ -16,9 +15,10 @@
 
 __all__ = ["Membership"]
 
-# A daemon that is gone is forgotten after this time; budgets and reports bear a few seconds.
-LEASE_LIFE = timedelta(seconds=4)
-KEEP_S = 1.3
+# A daemon that is gone is forgotten after this time. Nothing waits for it: hubs and granters that
+# fell silent are noticed by those that need them, and a retry share too small is safe.
+LEASE_LIFE = timedelta(seconds=9)
+KEEP_S = 3.0
 RETRY_S = 0.5
 
 
@@ -60,7 +60,7 @@
     async def _enter(self) -> None:
         settings = self._session.settings
         lease = await self._store.open_lease(LEASE_LIFE)
-        me = Peer(settings.daemon, self._session.start, settings.peers.host, settings.peers.port)
+        me = self._session.me
         key = DAEMONS_PREFIX + settings.daemon
         await self._store.write([Write(key, encode_peer(me), lease)])
         self._lease = lease
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -11,11 +11,14 @@
 __all__ = [
     "Cleared",
     "Crashed",
+    "GroupLoads",
     "KeyReport",
     "LoadReport",
     "Message",
     "Moved",
     "Pausing",
+    "Terms",
+    "TotalLoads",
     "decode_message",
     "encode_message",
 ]
@@ -29,6 +32,27 @@
     terms: dict[str, int]
 
 
+@dataclass(frozen=True)
+class GroupLoads:
+    """How many requests the sender's group has at each server: from hub to hub."""
+
+    counts: dict[int, int]
+
+
+@dataclass(frozen=True)
+class TotalLoads:
+    """How many requests each server has from all daemons: from a hub to its followers."""
+
+    counts: dict[int, int]
+
+
+@dataclass(frozen=True)
+class Terms:
+    """The terms of granting that the sender knows by service."""
+
+    terms: dict[str, int]
+
+
 @dataclass(frozen=True)
 class KeyReport:
     """How many requests for each key the sender got since its last report."""
@@ -72,7 +96,9 @@
     fingerprint: int
 
 
-Message = LoadReport | KeyReport | Pausing | Moved | Crashed | Cleared
+Message = (
+    LoadReport | GroupLoads | TotalLoads | Terms | KeyReport | Pausing | Moved | Crashed | Cleared
+)
 
 
 def encode_message(sender: str, count: int, message: Message) -> bytes:
@@ -80,6 +106,12 @@
     match message:
         case LoadReport(counts, terms):
             body: list[object] = ["l", counts, terms]
+        case GroupLoads(counts):
+            body = ["g", counts]
+        case TotalLoads(counts):
+            body = ["a", counts]
+        case Terms(terms):
+            body = ["t", terms]
         case KeyReport(service, counts, paces):
             body = ["k", service, counts, paces]
         case Pausing(service, pieces):
@@ -101,6 +133,12 @@
         match kind, body:
             case "l", [counts, terms]:
                 message = LoadReport(counts, terms)
+            case "g", [counts]:
+                message = GroupLoads(counts)
+            case "a", [counts]:
+                message = TotalLoads(counts)
+            case "t", [terms]:
+                message = Terms(terms)
             case "k", [service, counts, paces]:
                 message = KeyReport(service, counts, paces)
             case "p", [service, pieces]:
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -9,27 +9,25 @@
 from fuchsiawell.gateway.control.peer_messages import (
     Cleared,
     Crashed,
+    GroupLoads,
     KeyReport,
     LoadReport,
     Message,
     Moved,
     Pausing,
+    Terms,
+    TotalLoads,
     decode_message,
     encode_message,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
-    from fuchsiawell.gateway.session.state import Session
+    from fuchsiawell.gateway.session.state import Peer, Session
 
 __all__ = ["Peers"]
 
-# Between two load reports, in seconds: a fraction of the usual work time, so that daemons see each
-# other's requests while they run, at under 1 in 100 of the day's worth in bytes between zones.
-REPORT_S = 0.07
-# Without changes a report is repeated this often while there is load.
-REPEAT_S = 0.5
 # Between two reports of key counts.
 KEY_REPORT_S = 0.3
 
@@ -40,11 +38,9 @@
     def __init__(self, session: Session) -> None:
         self._session = session
         self._transport: asyncio.DatagramTransport | None = None
-        self._last_counts: dict[int, int] = {}
-        self._last_terms: dict[str, int] = {}
-        self._last_report_at = 0.0
         self.on_terms: Callable[[str, dict[str, int]], None] | None = None
         self.on_keys: Callable[[KeyReport], None] | None = None
+        self.on_loads: Callable[[str, LoadReport | GroupLoads | TotalLoads], None] | None = None
 
     async def open(self) -> None:
         """Listen for datagrams."""
@@ -73,29 +69,16 @@
 
     def broadcast(self, message: Message) -> None:
         """Send a message to every other daemon."""
-        if self._transport is None:
+        self.send(self._session.peers_by_name.values(), message)
+
+    def send(self, peers: Collection[Peer], message: Message) -> None:
+        """Send a message to some daemons."""
+        if self._transport is None or not peers:
             return
         data = self._encode(message)
-        for peer in self._session.peers_by_name.values():
+        for peer in peers:
             self._transport.sendto(data, (peer.host, peer.port))
 
-    async def report_loads(self) -> None:
-        """Report loads when they changed, and now and then while there are any."""
-        while True:
-            await asyncio.sleep(REPORT_S)
-            session = self._session
-            counts = session.loads.report()
-            terms = {name: shard_map.term for name, shard_map in session.shard_maps.items()}
-            now_s = session.now_s
-            due = now_s - self._last_report_at >= REPEAT_S and bool(counts)
-            if terms != self._last_terms or due:
-                # Terms change rarely; they go along now and then, in case a datagram was lost.
-                self._last_terms, self._last_report_at = terms, now_s
-                self.broadcast(LoadReport(counts, terms))
-            elif counts != self._last_counts:
-                self.broadcast(LoadReport(counts, {}))
-            self._last_counts = counts
-
     async def report_keys(self) -> None:
         """Report key counts to the granter."""
         while True:
@@ -110,8 +93,8 @@
                 if session.granter == session.settings.daemon:
                     if self.on_keys is not None:
                         self.on_keys(report)
-                elif granter is not None and self._transport is not None:
-                    self._transport.sendto(self._encode(report), (granter.host, granter.port))
+                elif granter is not None:
+                    self.send([granter], report)
 
     def close(self) -> None:
         """Stop listening."""
@@ -133,11 +116,13 @@
     def _apply(self, sender: str, message: Message) -> None:
         session = self._session
         match message:
-            case LoadReport(counts, terms):
-                session.loads.heard(sender, counts, session.now_s)
-                session.wake_for_room()
-                if self.on_terms is not None:
-                    self.on_terms(sender, terms)
+            case LoadReport() | GroupLoads() | TotalLoads():
+                if self.on_loads is not None:
+                    self.on_loads(sender, message)
+                if isinstance(message, LoadReport):
+                    self._apply_terms(sender, message.terms)
+            case Terms(terms):
+                self._apply_terms(sender, terms)
             case KeyReport():
                 if self.on_keys is not None:
                     self.on_keys(message)
@@ -150,6 +135,10 @@
             case Cleared(fingerprint):
                 session.suspects.answered(fingerprint)
 
+    def _apply_terms(self, sender: str, terms: dict[str, int]) -> None:
+        if terms and self.on_terms is not None:
+            self.on_terms(sender, terms)
+
     def _apply_moved(self, message: Moved) -> None:
         known = self._session.shard_maps.get(message.service)
         if known is None or known.term != message.term:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placing.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placing.py
@@ -39,13 +39,14 @@
         session = self._session
         entered_s = session.now_s
         waiter: Waiter | None = None
+        waited_since_s: float | None = None
         waiting: WaitingList | None = None
         try:
             while True:
                 found = self._look(request, waiter is not None)
                 if isinstance(found, Target):
                     session.loads.started(found.backend_id)
-                    self._list(request).started(session.now_s, waiter is not None)
+                    self._list(request).started(session.now_s, waited_since_s)
                     return found
                 refusal = self._hopeless(request, found, entered_s)
                 if refusal is not None:
@@ -55,6 +56,7 @@
                     if waiter is not None and waiting is not None:
                         waiting.remove(waiter)
                     waiting, woken = here, asyncio.Event()
+                    waited_since_s = session.now_s
                     waiter = here.add(
                         request.route.priority,
                         request.due_s,
@@ -130,7 +132,7 @@
                 return not_run(why, self.come_back_s(LATEST_S))
             case "no room":
                 late = now_s > self._in_time_until(request)
-                wait_s = self._list(request).wait_s(request.route.priority, late)
+                wait_s = self._list(request).wait_s(request.route.priority, now_s, late)
                 if now_s + wait_s > latest_s:
                     return not_run(f"{why}: wait of {wait_s:.3f} s", self.come_back_s(wait_s))
                 return None
--- a/libs/gateway/src/fuchsiawell/gateway/execute/pools.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/pools.py
@@ -7,6 +7,8 @@
 from fuchsiawell.httpio import ClientConnection, connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiawell.core import Clock
 
 __all__ = ["Pools"]
@@ -20,16 +22,17 @@
 # Work that must not repeat takes only connections used this shortly before: a server that dropped
 # an idle connection unnoticed would leave its outcome unknown.
 FRESH_S = 5.5
-# Idle connections kept to one server: a dozen daemons together stay far below its limit, which
-# shrinks while its queue is long.
-KEPT = 4
+# Idle connections kept to one server, by this daemon and by all together: they stay far below the
+# server's limit (130 and up), which shrinks while its queue is long.
+KEPT, KEPT_BY_ALL = 4, 50
 
 
 class Pools:
     """Idle connections by server address and life; the last used one is taken first."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, daemons: Callable[[], int] = lambda: 1) -> None:
         self._clock = clock
+        self._daemons = daemons
         self._idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
 
@@ -51,12 +54,20 @@
     def give_back(self, life: str, connection: ClientConnection) -> None:
         """Keep a connection for later."""
         idle = self._idle.setdefault(life, [])
-        if not connection.usable or len(idle) >= KEPT:
+        if not connection.usable or len(idle) >= self._kept:
             connection.close()
             return
         connection.idle_since = self._clock.monotonic()
         idle.append(connection)
 
+    def has_idle(self, life: str) -> bool:
+        """Whether a kept connection may be there for the next request."""
+        return bool(self._idle.get(life))
+
+    @property
+    def _kept(self) -> int:
+        return max(1, min(KEPT, KEPT_BY_ALL // self._daemons()))
+
     def distrust(self, life: str) -> None:
         """Drop all idle connections to a server after one of them broke."""
         for connection in self._idle.pop(life, []):
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -40,6 +40,11 @@
 LONGEST_PAUSE_S = 1.5
 
 
+# Link in Mbit/s that goes with a core of work for others: a hub of 24 daemons sends some 3 Mbit/s
+# at about a fifth of a core, and requests need most of either.
+LINK_PER_CORE = 40.0
+
+
 @dataclass(frozen=True)
 class Peer:
     """Another daemon, and which start of its process."""
@@ -48,6 +53,9 @@
     start: str
     host: str
     port: int
+    zone: str = ""
+    # What it can bear beside its requests, in cores.
+    strength: float = 1.0
 
 
 @dataclass
@@ -87,6 +95,8 @@
         self.directory = Directory()
         self.shard_maps: dict[str, ShardMap] = {}
         self.peers_by_name: dict[str, Peer] = {}
+        # Grows with each change of the peers.
+        self.peers_version = 0
         # Daemons whose entries have lapsed, though they may live, cut off from the store.
         self._lapsed: set[str] = set()
         self._heard_at: dict[str, float] = {}
@@ -112,6 +122,19 @@
         """Monotonic seconds."""
         return self.clock.monotonic()
 
+    @property
+    def me(self) -> Peer:
+        """This daemon as the others see it."""
+        settings = self.settings
+        return Peer(
+            settings.daemon,
+            self.start,
+            settings.peers.host,
+            settings.peers.port,
+            settings.zone,
+            min(settings.cores, settings.link_mbit_s / LINK_PER_CORE),
+        )
+
     @property
     def daemons(self) -> int:
         """How many daemons share the work, this one included."""
@@ -205,6 +228,8 @@
     def put_peer(self, peer: Peer) -> None:
         """Take another daemon's entry."""
         self._lapsed.discard(peer.name)
+        if self.peers_by_name.get(peer.name) != peer:
+            self.peers_version += 1
         self.peers_by_name[peer.name] = peer
 
     def lapse_peer(self, name: str) -> None:
@@ -223,6 +248,7 @@
                 self._lapsed.discard(name)
                 self._heard_at.pop(name, None)
                 self.peers_by_name.pop(name, None)
+                self.peers_version += 1
                 self.log.event("daemon gone", daemon=name)
 
     def take_map(self, shard_map: ShardMap, source: str) -> bool:
--- a/libs/gateway/tests/test_follower.py
+++ b/libs/gateway/tests/test_follower.py
@@ -9,24 +9,10 @@
 from fuchsiawell.gateway.control import follower as module
 from fuchsiawell.gateway.control.follower import Follower
 from fuchsiawell.gateway.control.keys import DAEMONS_PREFIX, GRANTER_KEY, encode_peer
-from fuchsiawell.gateway.ports import Records
 from fuchsiawell.gateway.session.state import Peer
 from fuchsiawell.standins import MemoryStore
 
-from parts import backend, configuration, session
-
-
-class PlainRecords(Records):
-    configuration_key = "config"
-    backends_prefix = "servers/"
-
-    def configuration(self, value: bytes):
-        if not value.isdigit():
-            raise ValueError("no number")
-        return configuration(version=int(value))
-
-    def backend(self, key: str, value: bytes):
-        return backend(key.removeprefix("servers/")) if value == b"good" else None
+from parts import PlainRecords, session
 
 
 @pytest.fixture(autouse=True)
--- a/libs/gateway/tests/test_peer_messages.py
+++ b/libs/gateway/tests/test_peer_messages.py
@@ -5,10 +5,13 @@
 from fuchsiawell.gateway.control.peer_messages import (
     Cleared,
     Crashed,
+    GroupLoads,
     KeyReport,
     LoadReport,
     Moved,
     Pausing,
+    Terms,
+    TotalLoads,
     decode_message,
     encode_message,
 )
@@ -17,6 +20,9 @@
 OWNER = Owner("i-1", 5, "10.0.0.1", 80)
 MESSAGES = [
     LoadReport({7: 2}, {"s": 3}),
+    GroupLoads({7: 2}),
+    TotalLoads({7: 2, 8: 1}),
+    Terms({"s": 3}),
     KeyReport("s", {64347: 12}, {7: 150}),
     Pausing("s", [(0, 99), (200, 300)]),
     Moved("s", 3, 50, [Holding(0, 99, 49, OWNER), Holding(100, 200, 48, None)]),
--- a/libs/routing/src/fuchsiawell/routing/directory.py
+++ b/libs/routing/src/fuchsiawell/routing/directory.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
 __all__ = ["Backend", "Directory"]
 
@@ -31,8 +31,6 @@
     # Start of this life, Unix milliseconds; tells lives under one id apart.
     born: int
     draining: bool
-    # How much longer the server stays slow after its start, in seconds, when the entry was written.
-    cold_s: float = 0.0
 
     @property
     def peer(self) -> str:
@@ -93,14 +91,6 @@
         else:
             del self._by_id[backend_id]
 
-    def replace_all(self, backends: Iterable[Backend], now_s: float) -> None:
-        """Take a full listing."""
-        listed = {backend.id: backend for backend in backends}
-        for backend in listed.values():
-            self.put(backend)
-        for backend_id in [known for known in self._by_id if known not in listed]:
-            self.remove(backend_id, now_s)
-
     def expire(self, now_s: float) -> list[str]:
         """Drop servers whose entries stayed missing; returns their ids."""
         if self._away:
@@ -114,9 +104,3 @@
             del self._missing_until[backend_id]
             self._by_id.pop(backend_id, None)
         return gone
-
-    def mark_draining(self, backend_id: str) -> None:
-        """Stop new work to a server that says itself that it is leaving."""
-        backend = self._by_id.get(backend_id)
-        if backend is not None:
-            self._by_id[backend_id] = replace(backend, draining=True)
