--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -38,6 +38,8 @@
 LISTEN_ON_S = 2.4
 # Time kept back from the grace for closing, in seconds.
 CLOSING_S = 0.5
+# Of it, time for the last call to the store, which may be away; the process needs the rest to end.
+LEAVING_S = 0.25
 BACKLOG = 512
 
 
@@ -141,7 +143,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._membership.leave()
+        await self._membership.leave(max(0.0, stop_by_s + LEAVING_S - session.now_s))
         self._relay.close()
         self._pools.close()
         self._peers.close()
--- a/libs/gateway/src/fuchsiawell/gateway/control/membership.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/membership.py
@@ -46,12 +46,17 @@
                 self._session.metrics.count("store_failures", error.step)
                 await asyncio.sleep(RETRY_S * self._session.random.uniform(0.7, 1.3))
 
-    async def leave(self) -> None:
-        """Take the entry away before a planned stop."""
+    async def leave(self, limit_s: float) -> None:
+        """Take the entry away before a planned stop, within `limit_s` seconds."""
         if self._lease is None:
             return
         try:
-            await self._store.end_lease(self._lease)
+            async with asyncio.timeout(limit_s):
+                await self._store.end_lease(self._lease)
+        except TimeoutError:
+            self._session.log.warning(
+                "daemon entry left to lapse", step="end lease", peer="store", reason="no time left"
+            )
         except StoreUnavailableError as error:
             self._session.log.warning(
                 "daemon entry left to lapse", step=error.step, peer=error.peer, reason=error.reason
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay.py
@@ -35,6 +35,8 @@
 GRANT_FLIGHT_S = 0.03
 # Longest wait for the connection that shows whether a server is still there, in seconds.
 PROBE_S = 0.3
+# From this status on an answer says that the server failed: what may repeat is tried again.
+SERVER_ERROR = 500
 # A try that has less time left than this part of the usual work time is pointless.
 LEAST_PART = 0.4
 
@@ -123,24 +125,44 @@
         if session.suspects.refuses(request.fingerprint, session.now_s):
             self._log("refused", request, why="crashes servers")
             return not_run("this request crashes the servers that run it", COME_BACK_S)
+        return await self._serve(request)
+
+    async def _serve(self, request: Arrived) -> Answer | Refusal:
+        """Try until there is an answer; a server's own failure stands if nothing better comes."""
+        session = self._session
         last: Outcome | None = None
+        failure: Answer | None = None
         maybe_ran = False
         while True:
             place = await self._placing.place(request)
             if isinstance(place, Refusal):
                 self._log("not placed", request, why=place.reason, tries=len(request.tried))
                 if maybe_ran:
-                    return failed(place.reason)
+                    return failure or failed(place.reason)
                 return place
             if request.tried and not session.budget.take(
                 request.service, session.daemons, session.now_s
             ):
                 self._placing.release(place)
                 self._log("no retry", request, why="retry budget", tries=len(request.tried))
-                return self._give_up(last, maybe_ran)
+                return failure or self._give_up(last, maybe_ran)
             request.tried.append(place.backend_id)
             last = await self._try(request, place)
             match last:
+                case Answer(head, rest=None) if head.status >= SERVER_ERROR and self._may_repeat(
+                    request
+                ):
+                    failure, maybe_ran = last, True
+                    self._log(
+                        "try failed",
+                        request,
+                        server=place.backend_id,
+                        step="answer",
+                        peer=place.peer,
+                        why=f"status {head.status}",
+                        maybe_ran=True,
+                    )
+                    continue
                 case Answer():
                     if session.suspects.answered(request.fingerprint):
                         self._tell_cleared(request.fingerprint)
@@ -157,7 +179,7 @@
                 maybe_ran=isinstance(last, Unknown),
             )
             if not self._may_try_again(request, last):
-                return self._give_up(last, maybe_ran)
+                return failure or self._give_up(last, maybe_ran)
             if isinstance(last, NotRun) and last.misdirected:
                 # The grant to a new holder may still be on its way.
                 request.refusals_by_fence[place.fence] += 1
@@ -165,12 +187,21 @@
 
     def _may_try_again(self, request: Arrived, last: NotRun | Unknown) -> bool:
         if isinstance(last, Unknown):
-            if not request.repeatable or last.timed_out:
-                return False
-            if len(request.tried) >= request.route.max_attempts:
-                return False
+            return not last.timed_out and self._may_repeat(request)
         if not request.body.repeatable or len(request.tried) > request.route.max_attempts + 1:
             return False
+        return self._has_time(request)
+
+    def _may_repeat(self, request: Arrived) -> bool:
+        """Whether a request that has run, or may have, may run again."""
+        return (
+            request.repeatable
+            and request.body.repeatable
+            and len(request.tried) < request.route.max_attempts
+            and self._has_time(request)
+        )
+
+    def _has_time(self, request: Arrived) -> bool:
         left_s = request.due_s - self._session.now_s
         return left_s > LEAST_PART * self._session.estimates.work_s(request.route.name)
 
--- a/libs/gateway/tests/test_relay.py
+++ b/libs/gateway/tests/test_relay.py
@@ -4,10 +4,10 @@
 
 from fuchsiawell.gateway.control.peers import Peers
 from fuchsiawell.gateway.execute.attempt import Target
-from fuchsiawell.gateway.execute.outcome import NotRun, Unknown
+from fuchsiawell.gateway.execute.outcome import Answer, NotRun, Unknown
 from fuchsiawell.gateway.execute.relay import Arrived, Relay
 from fuchsiawell.gateway.execute.reply import Refusal, not_run
-from fuchsiawell.httpio import RequestHead
+from fuchsiawell.httpio import RequestHead, ResponseHead
 
 from parts import configuration, session
 
@@ -40,12 +40,12 @@
         return self._outcomes.pop(0)
 
 
-async def serve(places: list, outcomes: list) -> Refusal:
+async def serve(places: list, outcomes: list, route_number: int = 0) -> Refusal:
     made = session()
     made.configuration = configuration()
     for _ in range(20):
         made.budget.requested("s", made.now_s)
-    route = made.configuration.routes[0]
+    route = made.configuration.routes[route_number]
     head = RequestHead(b"GET", b"/a/x", [])
     now_s = made.now_s
     request = Arrived(head, "q", route, "s", None, NoBody(), now_s, now_s + 1.5, 0)
@@ -67,3 +67,21 @@
 async def test_where_no_try_has_run_the_client_is_told_so() -> None:
     assert (await serve([TARGET, REFUSED], [FULL])).status == 503
     assert (await serve([REFUSED], [])).status == 503
+
+
+ANSWERED = Answer(ResponseHead(200, []), b"good")
+FAILED = Answer(ResponseHead(500, []), b"failed")
+
+
+async def test_a_request_that_may_repeat_is_tried_again_where_a_server_failed() -> None:
+    assert await serve([TARGET, TARGET], [FAILED, ANSWERED]) == ANSWERED
+
+
+async def test_the_servers_failure_stands_where_nothing_better_comes() -> None:
+    assert await serve([TARGET, TARGET], [FAILED, FAILED]) == FAILED
+    assert await serve([TARGET, REFUSED], [FAILED]) == FAILED
+    assert await serve([TARGET, TARGET], [FAILED, LOST]) == FAILED
+
+
+async def test_work_that_must_not_repeat_is_not_tried_again_where_a_server_failed() -> None:
+    assert await serve([TARGET], [FAILED], route_number=1) == FAILED
