Test followers of the store against hubs that fail at random

A store that goes away and forgets, a hub whose connections break: over 12 seeds the follower ends with what the store holds.

--- /dev/null
+++ b/libs/gateway/tests/test_news_random.py
@@ -0,0 +1,119 @@
+"""Whatever happens to its hub, a follower ends with what the store holds."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
+
+import pytest
+
+from fuchsiawell.core import ManualClock
+from fuchsiawell.gateway.control import follower as follower_module
+from fuchsiawell.gateway.control.follower import Follower
+from fuchsiawell.gateway.control.news_relay import NewsRelay
+from fuchsiawell.gateway.session.state import Peer
+from fuchsiawell.httpio import Channel
+from fuchsiawell.standins import MemoryStore
+
+from parts import PlainRecords, session
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STEPS = 60
+
+
+class OneHub:
+    """Names the same hub always."""
+
+    def __init__(self, port: int) -> None:
+        self.hub = Peer("d-hub", "x", "127.0.0.1", port)
+        self.given_up = 0
+
+    def give_up(self, why: str) -> None:
+        self.given_up += 1
+
+
+class Bed:
+    """A store, a hub that watches it, and a follower."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(1000.0)
+        self.store = MemoryStore(self.clock)
+        self.hub_session = session(self.clock, "d-hub")
+        self.relay = NewsRelay(self.hub_session)
+        self.hub = Follower(self.hub_session, self.store, PlainRecords())
+        self.session = session(self.clock)
+        self.follower = Follower(self.session, self.store, PlainRecords())
+        self.channels: list[Channel] = []
+
+    def accept(self, channel: Channel) -> None:
+        self.channels.append(channel)
+        self.relay.accept(channel)
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("REARM_S", "KNOWN_REARM_S", "FIRST_RETRY_S", "LAST_RETRY_S"):
+        monkeypatch.setattr(follower_module, name, 0.0)
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_a_follower_ends_with_what_the_store_holds(seed: int) -> None:
+    chance, bed = Random(seed), Bed()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: Channel(bed.accept), "127.0.0.1", 0)
+    hubs = OneHub(server.sockets[0].getsockname()[1])
+    bed.hub.follow_hubs(cast("Any", _NoHubs()), bed.relay)
+    bed.follower.follow_hubs(cast("Any", hubs), NewsRelay(bed.session))
+    tasks = [asyncio.create_task(f.run()) for f in (bed.hub, bed.follower)]
+    expected: set[str] = set()
+    for _ in range(STEPS):
+        _step(chance, bed, expected)
+        bed.clock.advance(chance.uniform(0.0, 2.0))
+        for _ in range(chance.randrange(8)):
+            await asyncio.sleep(0)
+    bed.store.away = False
+    bed.store.put("servers/last", b"good")
+    expected.add("last")
+    await _until(bed, lambda: set(bed.session.directory.by_id) >= expected)
+    bed.clock.advance(10.0)
+    bed.follower.expire()
+    assert set(bed.session.directory.by_id) == expected
+    for task in tasks:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+    bed.relay.close()
+    server.close()
+
+
+class _NoHubs:
+    hub = None
+
+
+def _step(chance: Random, bed: Bed, expected: set[str]) -> None:
+    match chance.randrange(9):
+        case 0 | 1 | 2 | 3:
+            name = f"i-{chance.randrange(20)}"
+            bed.store.put(f"servers/{name}", b"good")
+            expected.add(name)
+        case 4 | 5 if expected:
+            name = chance.choice(sorted(expected))
+            bed.store.remove(f"servers/{name}")
+            expected.discard(name)
+        case 6 if bed.channels:
+            bed.channels[-1].abort()
+        case 7:
+            bed.store.away = not bed.store.away
+        case 8:
+            bed.store.forget_history()
+
+
+async def _until(bed: Bed, condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not condition():
+            bed.clock.advance(0.01)
+            await asyncio.sleep(0)
