Take settings that changed without a signal

The file is looked at each second; the budget and the times follow; what names the daemon or its addresses stays until a restart, with a line that says so.

--- a/libs/balance/src/fuchsiawell/balance/retry_budget.py
+++ b/libs/balance/src/fuchsiawell/balance/retry_budget.py
@@ -31,7 +31,7 @@
     """This daemon's part of the budget: its own requests' ratio and an equal share of the slack."""
 
     def __init__(self, rules: RetryRules) -> None:
-        self._rules = rules
+        self.rules = rules
         self._by_service: dict[str, _Window] = {}
 
     def requested(self, service: str, now_s: float) -> None:
@@ -42,7 +42,7 @@
         """Take leave for one repeat; `daemons` share the slack."""
         window = self._window(service, now_s)
         allowed = USED_PART * (
-            self._rules.ratio * len(window.requests) + self._rules.slack / max(1, daemons)
+            self.rules.ratio * len(window.requests) + self.rules.slack / max(1, daemons)
         )
         if len(window.repeats) + 1 > allowed:
             return False
@@ -52,6 +52,6 @@
     def _window(self, service: str, now_s: float) -> _Window:
         window = self._by_service.setdefault(service, _Window())
         for times in (window.requests, window.repeats):
-            while times and times[0] < now_s - self._rules.window_s:
+            while times and times[0] < now_s - self.rules.window_s:
                 times.popleft()
         return window
--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -27,8 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from fuchsiawell.gateway.config.settings import Address, Settings
-    from fuchsiawell.gateway.ports import BackendProtocol, Records, Store
+    from fuchsiawell.gateway.config.settings import Address
+    from fuchsiawell.gateway.ports import BackendProtocol, Records, SettingsSource, Store
     from fuchsiawell.gateway.session.state import Session
 
 __all__ = ["Application"]
@@ -41,6 +41,8 @@
 # Of it, time for the last call to the store, which may be away; the process needs the rest to end.
 LEAVING_S = 0.25
 BACKLOG = 512
+# Between two looks whether the settings have changed without a signal, in seconds.
+SETTINGS_S = 1.0
 
 
 class Application:
@@ -54,10 +56,10 @@
         store: Store,
         records: Records,
         protocol: BackendProtocol,
-        reload: Callable[[], Settings],
+        settings_source: SettingsSource,
     ) -> None:
         self._session = session
-        self._reload = reload
+        self._settings_source = settings_source
         self._pools = Pools(session.clock, lambda: session.daemons)
         self._peers = Peers(session)
         self._follower = Follower(session, store, records)
@@ -123,6 +125,7 @@
             self._load_reports.run(),
             self._peers.report_keys(),
             self._upkeep.run(),
+            self._watch_settings(),
         ):
             self._tasks.append(loop_task(work, self._session))
         self.begin()  # type: ignore[attr-defined]
@@ -166,13 +169,21 @@
         )
         self._servers.append(server)
 
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            if self._settings_source.changed():
+                self._on_reload()
+
     def _on_reload(self) -> None:
         try:
-            self._session.settings = self._reload()
+            settings = self._settings_source.read()
         except Exception as error:
-            self._session.log.warning("settings not reloaded", reason=str(error))
+            self._session.log.warning(
+                "settings not reloaded", step="read settings", reason=str(error)
+            )
             return
-        self._session.log.event("settings reloaded")
+        self._session.take_settings(settings)
 
     def _readiness_page(self) -> tuple[int, str]:
         return (200, "ready\n") if self._session.ready else (503, "not ready\n")
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -10,6 +10,7 @@
     from collections.abc import Sequence
     from datetime import timedelta
 
+    from fuchsiawell.gateway.config.settings import Settings
     from fuchsiawell.httpio import Fields, RequestHead, ResponseHead
     from fuchsiawell.routing import Backend, Configuration
 
@@ -23,6 +24,7 @@
     "LeaseEndedError",
     "Records",
     "RequestFacts",
+    "SettingsSource",
     "Store",
     "StoreEvents",
     "StoreUnavailableError",
@@ -113,6 +115,18 @@
         """End a lease and remove its keys."""
 
 
+class SettingsSource(ABC):
+    """Where this daemon's settings come from."""
+
+    @abstractmethod
+    def read(self) -> Settings:
+        """Return the settings as they are now; raises ValueError or OSError."""
+
+    @abstractmethod
+    def changed(self) -> bool:
+        """Whether they may differ from what was read last."""
+
+
 class Records(ABC):
     """The records that the platform and its operator keep in the store."""
 
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from fuchsiawell.balance import (
@@ -36,6 +36,8 @@
 # Seconds after which a daemon without an entry that sends nothing is dropped; one with any load
 # reports twice a second.
 SILENT_PEER_S = 3.0
+# Settings that only a restart changes.
+FIXED_SETTINGS = ("daemon", "zone", "host", "clients", "readiness", "peers", "metrics")
 # Seconds for which a range about to move is held back when no news of the move arrives.
 LONGEST_PAUSE_S = 1.5
 
@@ -145,6 +147,16 @@
         """Whether clients may be sent here: something can be served and no stop is planned."""
         return not self.stopping and self.configuration is not None and bool(self.directory.by_id)
 
+    def take_settings(self, settings: Settings) -> None:
+        """Take changed settings; who this daemon is and where it listens stays until a restart."""
+        fixed = {name: getattr(self.settings, name) for name in FIXED_SETTINGS}
+        differing = [name for name, value in fixed.items() if getattr(settings, name) != value]
+        if differing:
+            self.log.warning("settings need a restart", fields=differing)
+        self.settings = replace(settings, **fixed)
+        self.budget.rules = settings.retries
+        self.log.event("settings reloaded")
+
     def waiting(self, service: str, backend_id: str | None = None) -> WaitingList:
         """Return who waits for room at a service, or at the holder of their keys."""
         key = (service, backend_id)
--- a/libs/gateway/tests/test_session.py
+++ b/libs/gateway/tests/test_session.py
@@ -2,7 +2,10 @@
 
 import io
 import json
+from dataclasses import replace
+from datetime import timedelta
 
+from fuchsiawell.balance import RetryRules
 from fuchsiawell.core import LamportClock, ManualClock, open_event_log
 from fuchsiawell.gateway.session.log_stream import LogStream
 from fuchsiawell.gateway.session.metrics import SERIES_LIMIT, Metrics
@@ -133,3 +136,17 @@
     clock.advance(100.0)
     made.forget_peers()
     assert "d-2" in made.peers_by_name
+
+
+def test_changed_settings_take_effect_but_for_those_that_need_a_restart() -> None:
+    clock = ManualClock(1000.0)
+    made = session(clock)
+    for _ in range(4):
+        made.budget.requested("s", made.now_s)
+    changed = replace(
+        made.settings, zone="b", drain=timedelta(seconds=9), retries=RetryRules(0.0, 0.0, 10.0)
+    )
+    made.take_settings(changed)
+    assert made.settings.zone == "a"
+    assert made.settings.drain == timedelta(seconds=9)
+    assert not made.budget.take("s", 1, made.now_s)
