--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)))
 export PYTHONHASHSEED := 0
 
-.PHONY: install format check lint types test model demo soak build all
+.PHONY: install format check lint types test model demo soak soak-mutants build all
 
 all: check test
 
@@ -46,6 +46,21 @@
 soak: install
 	PYTHONPATH=$(PYTHONPATH):$(STANDINS) $(VENV)/bin/python -m fuchsiawell.soak $(SEEDS)
 
+# Each mutant must be caught by one of a few seeds: a soak that it survives ends with status 0.
+MUTANTS ?= repeat-all lie pass-strays-on move-early die-at-stop grant-once
+soak-mutants: install
+	@mkdir -p build; for mutant in $(MUTANTS); do \
+		caught=; \
+		for seed in 1 2 3 4 5 6; do \
+			PYTHONPATH=$(PYTHONPATH):$(STANDINS) $(VENV)/bin/python -m fuchsiawell.soak $$seed \
+				--faults 25 --mutant "libs/soak/tests/mutants.py $$mutant" > build/mutant.log 2>&1 \
+				|| { caught=$$seed; break; }; \
+		done; \
+		grep -o '"broken":\["[^"]*"' build/mutant.log || true; \
+		echo "$$mutant: caught by seed $${caught:-none}"; \
+		[ -n "$$caught" ] || exit 1; \
+	done
+
 # The bundled interpreter modules fit the Python that packed them; the target's python3 must match.
 build: install
 	rm -rf build/site build/unpacked && mkdir -p build/site dist
--- a/libs/soak/src/fuchsiawell/soak/__main__.py
+++ b/libs/soak/src/fuchsiawell/soak/__main__.py
@@ -11,6 +11,7 @@
 import defopt
 import msgspec
 
+from fuchsiawell.soak.daemons import PROGRAM
 from fuchsiawell.soak.run import Size, soak
 
 __all__ = ["main"]
@@ -22,6 +23,7 @@
     daemons: int = 3,
     clients: int = 12,
     faults: int = 14,
+    mutant: str | None = None,
     logs: Path | None = None,
 ) -> None:
     """Run each seed in turn; the exit status is 1 if a promise was broken.
@@ -31,9 +33,11 @@
     :param daemons: daemons, each a process
     :param clients: clients
     :param faults: faults a seed
+    :param mutant: file and name of a daemon that breaks a promise, "FILE NAME"
     :param logs: folder that keeps the daemons' logs, a temporary one if left out
     """
-    size = Size(servers, daemons, clients, faults)
+    program = PROGRAM if mutant is None else tuple(mutant.split())
+    size = Size(servers, daemons, clients, faults, program=program)
     bad = 0
     for seed in seeds:
         folder = (logs or Path(tempfile.mkdtemp(prefix="soak-"))) / str(seed)
--- a/libs/soak/src/fuchsiawell/soak/daemons.py
+++ b/libs/soak/src/fuchsiawell/soak/daemons.py
@@ -17,9 +17,11 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["Daemon", "free_ports"]
+__all__ = ["PROGRAM", "Daemon", "free_ports"]
 
 READY_S = 30.0
+# What a daemon's process runs, after the interpreter.
+PROGRAM = ("-m", "fuchsiawell.adapter")
 
 
 def free_ports(count: int) -> list[int]:
@@ -37,8 +39,11 @@
 class Daemon:
     """One daemon: its settings, its log, and its process if it runs."""
 
-    def __init__(self, name: str, store_port: int, folder: Path) -> None:
+    def __init__(
+        self, name: str, store_port: int, folder: Path, program: tuple[str, ...] = PROGRAM
+    ) -> None:
         self.name = name
+        self._program = program
         self.ports = Ports(*free_ports(4))
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.json"
@@ -61,8 +66,7 @@
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "fuchsiawell.adapter",
+                *self._program,
                 stdout=log,
                 stderr=log,
                 env=environment,
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.soak.clients import Clients
+from fuchsiawell.soak.daemons import PROGRAM
 from fuchsiawell.soak.faults import FAULTS, Faults
 from fuchsiawell.soak.site import SoakSite
 
@@ -31,6 +32,7 @@
     clients: int = 12
     faults: int = 14
     gap_s: float = 0.8
+    program: tuple[str, ...] = PROGRAM
 
 
 @dataclass(frozen=True)
@@ -49,7 +51,7 @@
     site = SoakSite(folder, random)
     told: list[str] = []
     try:
-        await site.start(size.servers, size.daemons)
+        await site.start(size.servers, size.daemons, size.program)
         clients = Clients(site.daemons, site.promises, Random(seed + 1))
         load = asyncio.create_task(clients.run(size.clients, 0.02))
         faults = Faults(site)
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -8,7 +8,7 @@
 import uvicorn
 
 from fuchsiawell.core import SystemClock
-from fuchsiawell.soak.daemons import Daemon, free_ports
+from fuchsiawell.soak.daemons import PROGRAM, Daemon, free_ports
 from fuchsiawell.soak.promises import Promises
 from fuchsiawell.soak.proxy import Proxy
 from fuchsiawell.standins import MemoryStore
@@ -71,7 +71,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._store_port = 0
 
-    async def start(self, servers: int, daemons: int) -> None:
+    async def start(self, servers: int, daemons: int, program: tuple[str, ...] = PROGRAM) -> None:
         """Start everything and wait until the daemons are ready."""
         self._store_port = free_ports(1)[0]
         config = uvicorn.Config(
@@ -93,7 +93,7 @@
             name = f"d-{number + 1}"
             proxy = self.store_proxies[name] = Proxy(("127.0.0.1", self._store_port))
             await proxy.start()
-            daemon = Daemon(name, proxy.port, self._folder)
+            daemon = Daemon(name, proxy.port, self._folder, program)
             self.daemons.append(daemon)
             await daemon.start()
         for daemon in self.daemons:
--- /dev/null
+++ b/libs/soak/tests/mutants.py
@@ -0,0 +1,94 @@
+"""Daemons that break a promise each, to show that the soak catches them.
+
+`python mutants.py NAME` runs such a daemon; `make soak-mutants` soaks each until it is caught.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import TYPE_CHECKING, Any
+
+from fuchsiawell.adapter import boot_path
+from fuchsiawell.adapter.run import serve_settings
+from fuchsiawell.gateway.application import Application
+from fuchsiawell.gateway.control.granter import Granter
+from fuchsiawell.gateway.execute import relay
+from fuchsiawell.gateway.execute.relay import Arrived
+from fuchsiawell.gateway.execute.reply import Refusal, not_run
+from fuchsiawell.httpio import Exchange
+from fuchsiawell.shards import GrantBook
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["MUTANTS"]
+
+
+def _repeat_all() -> None:
+    """Work that must not repeat is repeated."""
+    Arrived.repeatable = property(lambda self: True)  # type: ignore[method-assign, assignment]
+
+
+def _lie() -> None:
+    """What may have run is told as not run."""
+
+    def told(reason: str) -> Refusal:
+        return not_run(reason, 0.5)
+
+    relay.failed = told
+    relay.timed_out = told
+
+
+def _pass_strays_on() -> None:
+    """Any answer on the connection is taken for the request's own."""
+    original = Exchange.answer_head
+
+    async def any_head(self: Exchange, belongs: Callable[[Any], bool]) -> Any:
+        return await original(self, lambda head: belongs(head) or True)
+
+    Exchange.answer_head = any_head  # type: ignore[method-assign]
+
+
+def _move_early() -> None:
+    """Keys of a silent server are given away before its grants have run out."""
+    GrantBook.silent_at = lambda self, life, now_s: now_s  # type: ignore[method-assign]
+    GrantBook.released_at = lambda self, life, now_s: now_s  # type: ignore[method-assign]
+
+
+def _die_at_stop() -> None:
+    """The order to stop ends the process with requests in hand."""
+
+    async def stop(self: Application) -> None:
+        raise SystemExit(3)
+
+    Application.stop = stop  # type: ignore[method-assign]
+
+
+def _grant_once() -> None:
+    """After a granter is lost nobody else grants."""
+    original = Granter._win
+    won: list[bool] = []
+
+    async def win(self: Granter) -> bool:
+        if won or not self._session.settings.daemon.endswith("1"):
+            return False
+        won.append(True)
+        return await original(self)
+
+    Granter._win = win  # type: ignore[method-assign]
+
+
+MUTANTS = {
+    "repeat-all": _repeat_all,
+    "lie": _lie,
+    "pass-strays-on": _pass_strays_on,
+    "move-early": _move_early,
+    "die-at-stop": _die_at_stop,
+    "grant-once": _grant_once,
+}
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    asyncio.run(serve_settings(boot_path()))
