--- a/libs/balance/src/fuchsiawell/balance/choice.py
+++ b/libs/balance/src/fuchsiawell/balance/choice.py
@@ -23,10 +23,6 @@
 # What a byte that crosses zones is worth in seconds of latency: at the users' prices a crossing
 # upload of 60 KB costs about as much as a quarter of a second.
 CROSSING_S_PER_BYTE = 4e-6
-# Where daemons are so many that the counts of others are older than a request's work takes, all of
-# them would send to the server that was free last. Each chooses instead between so many servers
-# drawn from its zone and from the others, as is known to bear stale counts well.
-DRAWN_NEAR, DRAWN_FAR = 1, 1
 # What a new connection is worth in seconds of latency, by the same prices.
 CONNECTION_S = 0.03
 # Latency of a crossing itself, there and back, in seconds.
@@ -62,8 +58,6 @@
         self._loads = loads
         self._outliers = outliers
         self._random = random
-        # Whether to choose among a few drawn servers: see DRAWN_NEAR.
-        self.sampling = False
         # Whether a connection to a server is open already; the path of a request knows.
         self.connected: Callable[[Backend], bool] = lambda _: True
 
@@ -79,15 +73,14 @@
         best: Candidate | None = None
         best_cost = float("inf")
         work_s = self._estimates.work_s(route)
-        eligible = [
-            backend
-            for backend in backends
-            if backend.id not in avoid
-            and room(backend, self._loads.total(backend.id)) > 0
-            and self._outliers.admits(backend.id, self._loads.own(backend.id), now_s)
-        ]
-        for backend in self._draw(eligible) if self.sampling else eligible:
+        for backend in backends:
             in_hand = self._loads.total(backend.id)
+            if (
+                backend.id in avoid
+                or room(backend, in_hand) <= 0
+                or not self._outliers.admits(backend.id, self._loads.own(backend.id), now_s)
+            ):
+                continue
             slowness = self._estimates.slowness(backend.id, now_s)
             expect_s = expected_s(work_s, slowness, in_hand, backend.slots)
             cost = expect_s / max(0.05, 1.0 - self._outliers.failure_share(backend.id)) ** 2
@@ -100,12 +93,3 @@
             if cost < best_cost:
                 best, best_cost = Candidate(backend, expect_s), cost
         return best
-
-    def _draw(self, backends: list[Backend]) -> list[Backend]:
-        near = [backend for backend in backends if backend.zone == self._zone]
-        far = [backend for backend in backends if backend.zone != self._zone]
-        more = DRAWN_NEAR - min(DRAWN_NEAR, len(near))
-        return [
-            *self._random.sample(near, min(DRAWN_NEAR, len(near))),
-            *self._random.sample(far, min(DRAWN_FAR + more, len(far))),
-        ]
--- a/libs/gateway/src/fuchsiawell/gateway/control/hubs.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/hubs.py
@@ -98,6 +98,5 @@
         self._others = tuple(name for group in groups if group != mine for name in group[:HUBS])
         if self.grouped != (len(groups) > 1):
             self.grouped = len(groups) > 1
-            session.chooser.sampling = self.grouped
             session.log.event("daemons grouped", groups=len(groups), hub=mine[0])
         self._followers = {n: at_s for n, at_s in self._followers.items() if n in mine}
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -16,7 +16,7 @@
 from fuchsiawell.gateway.execute import relay
 from fuchsiawell.gateway.execute.relay import Arrived
 from fuchsiawell.gateway.execute.reply import Refusal, not_run
-from fuchsiawell.httpio import ClientConnection, Exchange
+from fuchsiawell.httpio import Exchange
 from fuchsiawell.shards import GrantBook
 
 if TYPE_CHECKING:
@@ -41,16 +41,13 @@
 
 
 def _pass_strays_on() -> None:
-    """Any answer on a connection is taken for the request's own, also one that came before it."""
+    """Any answer on the connection is taken for the request's own."""
     original = Exchange.answer_head
 
     async def any_head(self: Exchange, belongs: Callable[[Any], bool]) -> Any:
         return await original(self, lambda head: belongs(head) or True)
 
     Exchange.answer_head = any_head  # type: ignore[method-assign]
-    ClientConnection.usable = property(  # type: ignore[method-assign, assignment]
-        lambda self: not self.channel.ended and not self.channel.closing
-    )
 
     def keep(self: Exchange) -> bool:
         # What came after the answer is left for the next request.
