Give the soak's daemons ports that no connection takes

Cause: ports were drawn from those that the kernel gives to connections, and given back before the daemon took them. Now ports lie below that range and are given once; a daemon that ended before it was ready is told by name.

--- a/libs/soak/src/fuchsiawell/soak/daemons.py
+++ b/libs/soak/src/fuchsiawell/soak/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -20,20 +21,35 @@
 __all__ = ["PROGRAM", "Daemon", "free_ports"]
 
 READY_S = 30.0
+# Ports for daemons; several soaks on one machine begin at different places.
+FIRST_PORT, PORTS = 12_000, 20_000
 # What a daemon's process runs, after the interpreter.
 PROGRAM = ("-m", "fuchsiawell.adapter")
 
 
+_ports = itertools.chain(
+    range(FIRST_PORT + os.getpid() * 400 % PORTS, FIRST_PORT + PORTS),
+    range(FIRST_PORT, FIRST_PORT + PORTS),
+)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports on which nobody listens now."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [int(probe.getsockname()[1]) for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
+    """Return ports on which nobody listens, none of which was returned before.
+
+    They lie below those that the kernel gives to connections: a daemon that is started again would
+    find its port taken by one.
+    """
+    found: list[int] = []
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            break
+    return found
 
 
 class Daemon:
@@ -73,9 +89,11 @@
             )
 
     async def wait_ready(self) -> None:
-        """Wait until the daemon says that it is ready; raises TimeoutError."""
+        """Wait until the daemon says that it is ready; raises TimeoutError, ChildProcessError."""
         async with asyncio.timeout(READY_S):
             while not await self._ready():
+                if not self.running:
+                    raise ChildProcessError(f"{self.name} ended before it was ready: {self.log}")
                 await asyncio.sleep(0.05)
 
     def signal(self, number: signal.Signals) -> None:
