--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -17,7 +17,7 @@
 from fuchsiawell.gateway.control.peers import Peers
 from fuchsiawell.gateway.control.upkeep import Upkeep
 from fuchsiawell.gateway.execute.attempt import Attempts
-from fuchsiawell.gateway.execute.front import Front
+from fuchsiawell.gateway.execute.front import LAST_ANSWERS_S, Front
 from fuchsiawell.gateway.execute.placing import Placing
 from fuchsiawell.gateway.execute.pools import Pools
 from fuchsiawell.gateway.execute.relay import Relay
@@ -142,7 +142,7 @@
         for server in self._servers:
             server.close()
         self._front.close_idle()
-        await self._front.wait_idle(stop_by_s - session.now_s)
+        await self._front.wait_idle(stop_by_s - LAST_ANSWERS_S - session.now_s)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/front.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/front.py
@@ -8,7 +8,7 @@
 from fuchsiawell.gateway.execute.body import Body
 from fuchsiawell.gateway.execute.outcome import Answer
 from fuchsiawell.gateway.execute.relay import Arrived
-from fuchsiawell.gateway.execute.reply import Refusal, failed, timed_out
+from fuchsiawell.gateway.execute.reply import Refusal, failed, not_run, timed_out
 from fuchsiawell.httpio import (
     BadRequestError,
     BrokenAnswerError,
@@ -31,6 +31,10 @@
 FIRST_BODY_BYTES = 64 * 1024 * 1024
 # Time for a client to send the rest of a body that was answered early, in seconds.
 LEFT_OVER_S = 2.0
+# Time for the answers to requests that a stop ends, in seconds.
+LAST_ANSWERS_S = 0.15
+# When a client whose request was ended by a stop may ask another daemon: at once.
+AFTER_STOP_S = 0.05
 # A connection stays open this long beyond the announced idle time: a request may cross its close.
 IDLE_SLACK_S = 1.0
 
@@ -45,6 +49,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: dict[Channel, ServerConnection] = {}
         self._all_answered = asyncio.Event()
+        # Limits of the requests that are being served; a stop moves them to now.
+        self._served: set[asyncio.Timeout] = set()
         self.busy = 0
 
     def accept(self, channel: Channel) -> None:
@@ -60,15 +66,25 @@
                 channel.close()
 
     async def wait_idle(self, limit_s: float) -> None:
-        """Wait until no request is being served, at most `limit_s` seconds."""
+        """Wait until no request is being served; after `limit_s` seconds the rest is given up."""
+        if await self._idle_within(limit_s):
+            return
+        self._session.log.warning("requests cut by the stop", count=self.busy)
+        now_s = asyncio.get_running_loop().time()
+        for limit in list(self._served):
+            limit.reschedule(now_s)
+        await self._idle_within(LAST_ANSWERS_S)
+
+    async def _idle_within(self, limit_s: float) -> bool:
         self._all_answered.clear()
         if not self.busy:
-            return
+            return True
         try:
             async with asyncio.timeout(limit_s):
                 await self._all_answered.wait()
         except TimeoutError:
-            self._session.log.warning("requests cut by the stop", count=self.busy)
+            return False
+        return True
 
     async def _serve(self, channel: Channel) -> None:
         connection = ServerConnection(channel, self._limits())
@@ -134,14 +150,15 @@
         """Return what the client is told; raises only when the client has left."""
         if isinstance(request, Refusal):
             return request
-        session = self._session
+        limit = asyncio.timeout(None)
+        self._served.add(limit)
         try:
-            try:
-                async with asyncio.timeout(request.due_s - session.now_s):
-                    await request.body.hold()
-            except TimeoutError:
-                return timed_out("the body did not arrive in time")
-            return await self._relay.serve(request)
+            async with limit:
+                return await self._serve_whole(request)
+        except TimeoutError as error:
+            if limit.expired():
+                return self._cut(request)
+            return self._internal_error(request, error)
         except BadRequestError as error:
             return Refusal(error.status, str(error))
         except asyncio.CancelledError as error:
@@ -153,6 +170,22 @@
             if isinstance(error, ConnectionError) and channel.ended:
                 raise
             return self._internal_error(request, error)
+        finally:
+            self._served.discard(limit)
+
+    async def _serve_whole(self, request: Arrived) -> Answer | Refusal:
+        try:
+            async with asyncio.timeout(request.due_s - self._session.now_s):
+                await request.body.hold()
+        except TimeoutError:
+            return timed_out("the body did not arrive in time")
+        return await self._relay.serve(request)
+
+    def _cut(self, request: Arrived) -> Refusal:
+        """Return what is true of a request that this daemon's stop ends."""
+        if request.maybe_ran:
+            return timed_out("the daemon stops")
+        return not_run("the daemon stops", AFTER_STOP_S)
 
     def _internal_error(self, request: Arrived, error: BaseException) -> Refusal:
         """Answer a fault of our own: it must neither go unseen nor leave the client waiting."""
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay.py
@@ -55,6 +55,8 @@
     due_s: float
     fingerprint: int
     tried: list[str] = field(default_factory=list)
+    # Whether a server may have run it, or may be running it.
+    maybe_ran: bool = False
     # How often the holder of the key, under this fence, said that it holds no such key.
     refusals_by_fence: Counter[int] = field(default_factory=Counter)
 
@@ -132,12 +134,11 @@
         session = self._session
         last: Outcome | None = None
         failure: Answer | None = None
-        maybe_ran = False
         while True:
             place = await self._placing.place(request)
             if isinstance(place, Refusal):
                 self._log("not placed", request, why=place.reason, tries=len(request.tried))
-                if maybe_ran:
+                if request.maybe_ran:
                     return failure or failed(place.reason)
                 return place
             if request.tried and not session.budget.take(
@@ -145,14 +146,15 @@
             ):
                 self._placing.release(place)
                 self._log("no retry", request, why="retry budget", tries=len(request.tried))
-                return failure or self._give_up(last, maybe_ran)
+                return failure or self._give_up(last, request.maybe_ran)
             request.tried.append(place.backend_id)
+            ran_before, request.maybe_ran = request.maybe_ran, True
             last = await self._try(request, place)
             match last:
                 case Answer(head, rest=None) if head.status >= SERVER_ERROR and self._may_repeat(
                     request
                 ):
-                    failure, maybe_ran = last, True
+                    failure = last
                     self._log(
                         "try failed",
                         request,
@@ -167,8 +169,8 @@
                     if session.suspects.answered(request.fingerprint):
                         self._tell_cleared(request.fingerprint)
                     return last
-                case Unknown():
-                    maybe_ran = True
+                case NotRun():
+                    request.maybe_ran = ran_before
             self._log(
                 "try failed",
                 request,
@@ -179,7 +181,7 @@
                 maybe_ran=isinstance(last, Unknown),
             )
             if not self._may_try_again(request, last):
-                return failure or self._give_up(last, maybe_ran)
+                return failure or self._give_up(last, request.maybe_ran)
             if isinstance(last, NotRun) and last.misdirected:
                 # The grant to a new holder may still be on its way.
                 request.refusals_by_fence[place.fence] += 1
--- a/libs/gateway/tests/test_front.py
+++ b/libs/gateway/tests/test_front.py
@@ -39,10 +39,13 @@
 
     def __init__(self, serve: Callable[[], Awaitable[Any]]) -> None:
         self._serve = serve
+        self.maybe_ran = False
 
     def accept(self, head: RequestHead, body: Body, now_s: float) -> Arrived:
         route = configuration().routes[0]
-        return Arrived(head, "r-1", route, "s", None, body, now_s, now_s + 5.0, 0)
+        request = Arrived(head, "r-1", route, "s", None, body, now_s, now_s + 5.0, 0)
+        request.maybe_ran = self.maybe_ran
+        return request
 
     async def serve(self, request: Arrived) -> object:
         return await self._serve()
@@ -56,7 +59,8 @@
         log = open_event_log("d-1", clock, lamport, stream=self.log)
         self.session = Session(settings(), "start-1", clock, Random(1), log, lamport)
         self.session.configuration = configuration()
-        self.front = Front(self.session, cast("Any", FakeRelay(serve)), cast("Any", FakeProtocol()))
+        self.relay = FakeRelay(serve)
+        self.front = Front(self.session, cast("Any", self.relay), cast("Any", FakeProtocol()))
 
     @asynccontextmanager
     async def client(self) -> AsyncIterator[ClientConnection]:
@@ -135,3 +139,20 @@
 async def _begun(bed: Bed) -> None:
     while not any(connection.begun for connection in bed.front._idle.values()):
         await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(("maybe_ran", "status"), [(True, b"504"), (False, b"503")])
+async def test_a_stop_answers_what_it_ends(maybe_ran: bool, status: bytes) -> None:
+    async def waits() -> None:
+        await asyncio.sleep(60)
+
+    bed = Bed(waits)
+    bed.relay.maybe_ran = maybe_ran
+    async with bed.client() as client, asyncio.timeout(5):
+        client.start(GET, 0)
+        while not bed.front.busy:
+            await asyncio.sleep(0)
+        bed.session.stopping = True
+        await bed.front.wait_idle(0.0)
+        received = await client.channel.receive()
+    assert received.startswith(b"HTTP/1.1 " + status)
