Send nothing to a server that left while the daemon was out of touch

The same may come at any size. Now requests go to servers whose entries are there, unless more than a quarter of a service's are missing, which is how lapses look. Who holds keys is judged as before. Tests: libs/routing/tests/test_directory.py.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/placing.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placing.py
@@ -85,7 +85,7 @@
     def _look(self, request: Arrived, waited: bool) -> Target | str:
         if request.key is not None and self._owns_keys(request.service):
             return self._look_holder(request, request.key, waited)
-        backends = self._session.directory.usable(request.service)
+        backends = self._session.directory.preferred(request.service)
         if not backends:
             return "no servers"
         if not waited and len(self._session.waiting(request.service)):
--- a/libs/routing/src/fuchsiawell/routing/directory.py
+++ b/libs/routing/src/fuchsiawell/routing/directory.py
@@ -16,6 +16,9 @@
 # A removal this soon after trouble with the store may be a lapse, not a leaving, in seconds:
 # entries last three heartbeats (up to 4.5 s) and the watch may be behind by one wait.
 SUSPICION_S = 5.0
+# Part of a service's servers whose entries must be there for the missing ones to count as gone:
+# planned work takes up to a fifth of them at a time.
+PRESENT_PART = 0.75
 
 
 @dataclass(frozen=True)
@@ -65,6 +68,16 @@
             if backend.service == service and not backend.draining
         ]
 
+    def preferred(self, service: str) -> list[Backend]:
+        """Return the servers that requests should go to: those whose entries are there.
+
+        A few missing entries are of servers that left while this daemon was out of touch. Where
+        many are missing they have lapsed, and their servers serve on.
+        """
+        known = self.usable(service)
+        present = [backend for backend in known if backend.id not in self._missing_until]
+        return present if len(present) >= PRESENT_PART * len(known) else known
+
     def store_away(self, now_s: float) -> None:
         """Note that the store does not answer this daemon."""
         self._away = True
--- a/libs/routing/tests/test_directory.py
+++ b/libs/routing/tests/test_directory.py
@@ -53,3 +53,25 @@
     directory.remove("i-1", 101.1)
     directory.put(ONE)
     assert directory.expire(110.0) == []
+
+
+def _after_a_cut(missing: int) -> set[str]:
+    """Return who is preferred when entries are missing after a time out of touch."""
+    directory = Directory()
+    for number in range(8):
+        directory.put(Backend(f"i-{number}", "s", "10.0.0.1", 80, "a", 2, 1, False))
+    directory.store_away(100.0)
+    directory.store_back(112.0)
+    for number in range(missing):
+        directory.remove(f"i-{number}", 112.1)
+    assert len(directory.usable("s")) == 8
+    return {backend.id for backend in directory.preferred("s")}
+
+
+def test_a_server_that_left_while_the_daemon_was_cut_off_gets_nothing_more() -> None:
+    assert _after_a_cut(missing=1) == {f"i-{number}" for number in range(1, 8)}
+
+
+def test_servers_whose_entries_lapsed_together_serve_on() -> None:
+    assert len(_after_a_cut(missing=5)) == 8
+    assert len(_after_a_cut(missing=8)) == 8
