Show how old a daemon's knowledge of the store is

Change: 'configuration taken' says its source (the store or a hub) and for how long the store had not confirmed the daemon's knowledge; gauge store_age_ms; histogram loop_delay, measured by the maintenance rounds. No decision changes: last_store_contact_s begins at the daemon's start in place of minus infinity, and is read only by an elected granter, which has had a contact.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -199,6 +199,7 @@
             "peers": len(session.peers_by_name),
             "configuration_version": session.configuration.version if session.configuration else 0,
             "connections_opened": self._pool.opened,
+            "store_age_ms": round(session.store_age_s * 1000),
             "granting": 1 if session.granter == session.settings.daemon else 0,
         }
         return 200, session.metrics.render(gauges)
--- a/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
@@ -33,7 +33,9 @@
         """Do a round of maintenance at each interval until cancelled."""
         rounds = 0
         while True:
+            due_s = self._session.now_s + ROUND_INTERVAL_S
             await asyncio.sleep(ROUND_INTERVAL_S)
+            self._session.metrics.observe("loop_delay", max(0.0, self._session.now_s - due_s))
             rounds += 1
             self._record_overdue()
             self._store_watcher.expire_backends()
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -38,6 +38,8 @@
 # How long a daemon watches the store itself after its hub failed: hubs that lost the store have
 # detected it by then.
 DIRECT_WATCH_S = 3.0
+# Source of changes that came from the store itself, in logs.
+STORE_SOURCE = "store"
 # Bounds of the back-off after a failed call to the store.
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.1, 0.6
 
@@ -56,6 +58,9 @@
         self._relay: ChangeRelay | None = None
         self._feed = ChangeFeed(session.settings.daemon)
         self._direct_watch_until_s = 0.0
+        # For logs: where the changes being applied came from, the store or the name of a hub, and
+        # the time until then since the last contact.
+        self._source, self._unconfirmed_s = STORE_SOURCE, 0.0
         self.on_granter_update: Callable[[], None] | None = None
 
     def use_hubs(self, hubs: HubSelector, relay: ChangeRelay) -> None:
@@ -88,7 +93,7 @@
 
     async def _list(self) -> None:
         listing = await self._store.list("")
-        self._on_store_contact()
+        self._on_store_contact(STORE_SOURCE)
         session = self._session
         prefix = self._records.backends_prefix
         present = {item.key for item in listing.items}
@@ -116,7 +121,7 @@
             except FeedLostError as error:
                 self._on_feed_lost(error)
                 return
-        self._on_store_contact()
+        self._on_store_contact(STORE_SOURCE if hub is None else hub.name)
         any_new = any([self._apply(item) for item in changes.items])
         self._as_of = max(self._as_of, changes.as_of)
         if self._relay is not None:
@@ -139,7 +144,8 @@
         self._direct_watch_until_s = self._session.now_s + DIRECT_WATCH_S
         self._hubs.fail_over("change feed lost")
 
-    def _on_store_contact(self) -> None:
+    def _on_store_contact(self, source: str) -> None:
+        self._source, self._unconfirmed_s = source, self._session.store_age_s
         self._session.last_store_contact_s = self._session.now_s
         if self._store_unavailable:
             self._store_unavailable = False
@@ -186,7 +192,11 @@
         self._config_revision = item.revision
         session.configuration = configuration
         session.log.event(
-            "configuration taken", version=configuration.version, routes=len(configuration.routes)
+            "configuration taken",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            source=self._source,
+            unconfirmed_ms=round(self._unconfirmed_s * 1000),
         )
         session.wake()
 
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -102,8 +102,8 @@
         self._last_contact_s: dict[str, float] = {}
         self.granter: str | None = None
         self.stopping = False
-        # Monotonic time of the store's last response to this daemon.
-        self.last_store_contact_s = float("-inf")
+        # Monotonic time of the store's last response to this daemon; its start until there is one.
+        self.last_store_contact_s = clock.monotonic()
         self.latency_estimates = LatencyEstimates()
         self.outlier_detector = OutlierDetector()
         self.in_flight_counts = InFlightCounts()
@@ -127,6 +127,11 @@
     def now_s(self) -> float:
         return self.clock.monotonic()
 
+    @property
+    def store_age_s(self) -> float:
+        """Return the time since the store last confirmed what this daemon knows."""
+        return self.now_s - self.last_store_contact_s
+
     @property
     def local_peer(self) -> Peer:
         """Return the entry of this daemon for the other daemons."""
--- a/libs/gateway/tests/builders.py
+++ b/libs/gateway/tests/builders.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import io
+import json
+import logging
 from datetime import timedelta
 from random import Random
+from typing import Any
 
 from fuchsiawell.balance import RetryRules
 from fuchsiawell.core import LamportClock, ManualClock, open_event_log
@@ -21,7 +24,7 @@
     WeightedService,
 )
 
-__all__ = ["FakeRecordDecoder", "backend", "configuration", "session"]
+__all__ = ["FakeRecordDecoder", "backend", "configuration", "log_events", "session"]
 
 
 def settings(name: str = "d-1") -> Settings:
@@ -47,6 +50,13 @@
     return Session(settings(name), "start-1", clock, Random(1), log, lamport)
 
 
+def log_events(observed: Session, name: str) -> list[dict[str, Any]]:
+    """Return the logged events of a name."""
+    handler = logging.getLogger(f"fuchsiawell.{observed.settings.daemon}").handlers[0]
+    lines = handler.stream.getvalue().splitlines()  # type: ignore[attr-defined]
+    return [event for line in lines if (event := json.loads(line))["event"] == name]
+
+
 def configuration(sharded: bool = False, version: int = 1) -> Configuration:
     idempotent_route = Route(
         "r",
--- a/libs/gateway/tests/test_store_watcher.py
+++ b/libs/gateway/tests/test_store_watcher.py
@@ -17,7 +17,7 @@
 from fuchsiawell.gateway.session.state import Peer
 from fuchsiawell.standins import MemoryStore
 
-from builders import FakeRecordDecoder, session
+from builders import FakeRecordDecoder, log_events, session
 
 
 @pytest.fixture(autouse=True)
@@ -94,3 +94,13 @@
     harness.clock.advance(2.5)
     harness.watcher.expire_backends()
     assert not harness.session.directory.by_id
+
+
+async def test_log_says_from_where_a_configuration_came_and_how_old_knowledge_was() -> None:
+    harness = Harness()
+    await harness.run_until(lambda: harness.watcher._as_of is not None)
+    harness.clock.advance(1.7)
+    harness.store.put("config", b"2")
+    await harness.run_until(lambda: harness.session.configuration is not None)
+    (event,) = log_events(harness.session, "configuration taken")
+    assert (event["source"], event["unconfirmed_ms"]) == ("store", 1700)
