Add failing tests for a configuration that is late at a hub's followers

Change: stand-ins for virtual time and connections in memory, so that seconds of waiting take no time and every run is the same; a site of store watchers; the test of the hub whose link to the store goes silent while it sends keep-alives. The change comes 0.05 to 1.9 s after the hub's watch began; with 0.05 and 0.2 s the follower takes it 2.66 and 2.51 s after its acknowledgement, over the bound of 2.5 s.

Ruled out: real time and sockets, as the verdict must be the same on a busy machine.

--- /dev/null
+++ b/libs/gateway/tests/store_site.py
@@ -0,0 +1,154 @@
+"""A store, its watchers in several daemons, and faults between them, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, cast
+
+from fuchsiawell.gateway.control.change_relay import ChangeRelay
+from fuchsiawell.gateway.control.store_watcher import StoreWatcher
+from fuchsiawell.gateway.ports import Store, StoreChanges, StoreUnavailableError, Write
+from fuchsiawell.gateway.session.state import Peer
+from fuchsiawell.standins import MemoryNetwork, MemoryStore, VirtualClock
+
+from builders import FakeRecordDecoder, session
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+    from datetime import timedelta
+
+__all__ = ["SiteDaemon", "StoreLink", "StoreSite"]
+
+CALL_TIMEOUT_S = 0.9
+# How long after its wait a watch without a response fails, as in the platform's adapter.
+WATCH_MARGIN_S = 0.7
+
+
+class StoreLink(Store):
+    """A daemon's link to the store; while `silent`, nothing passes and calls fail late."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.silent = False
+        self.watches = 0
+
+    async def get(self, key: str) -> Any:
+        return await self._call("get", self._store.get(key), CALL_TIMEOUT_S)
+
+    async def list(self, prefix: str) -> StoreChanges:
+        return await self._call("list", self._store.list(prefix), CALL_TIMEOUT_S)
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> StoreChanges:
+        self.watches += 1
+        call = self._store.watch(prefix, after, wait)
+        return await self._call("watch", call, wait.total_seconds() + WATCH_MARGIN_S)
+
+    async def write(self, writes: Sequence[Write], remove: Sequence[str] = ()) -> int:
+        return await self._call("write", self._store.write(writes, remove), CALL_TIMEOUT_S)
+
+    async def open_lease(self, ttl: timedelta) -> int:
+        return await self._call("open lease", self._store.open_lease(ttl), CALL_TIMEOUT_S)
+
+    async def renew_lease(self, lease_id: int) -> None:
+        await self._call("keep lease", self._store.renew_lease(lease_id), CALL_TIMEOUT_S)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        await self._call("end lease", self._store.revoke_lease(lease_id), CALL_TIMEOUT_S)
+
+    async def _call(self, step: str, call: Awaitable[Any], timeout_s: float) -> Any:
+        lost = self.silent
+        try:
+            async with asyncio.timeout(timeout_s):
+                result = await call
+                if lost or self.silent:
+                    await asyncio.Event().wait()
+                return result
+        except TimeoutError as error:
+            raise StoreUnavailableError(step, "store", "no answer in time", True) from error
+
+
+class FixedHubs:
+    """The hubs of a daemon: the next one is used after a failure."""
+
+    def __init__(self, hubs: list[Peer | None]) -> None:
+        self._hubs = hubs
+        self.failovers = 0
+
+    @property
+    def hub(self) -> Peer | None:
+        return self._hubs[self.failovers % len(self._hubs)]
+
+    def fail_over(self, why: str) -> None:
+        self.failovers += 1
+
+
+class SiteDaemon:
+    """The part of a daemon that learns changes of the store."""
+
+    def __init__(self, site: StoreSite, name: str, hubs: list[str | None]) -> None:
+        self.name = name
+        self.link = StoreLink(site.store)
+        self.session = session(cast("Any", site.clock), name)
+        self.relay = ChangeRelay(self.session)
+        self.watcher = StoreWatcher(self.session, self.link, FakeRecordDecoder())
+        self.hubs = FixedHubs([hub and Peer(hub, "x", hub, 0) for hub in hubs])
+        self.watcher.use_hubs(cast("Any", self.hubs), self.relay)
+        site.network.listen(name, self.relay.accept)
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 if none is known."""
+        configuration = self.session.configuration
+        return 0 if configuration is None else configuration.version
+
+    def start(self) -> None:
+        self.task = asyncio.create_task(self.watcher.run())
+
+
+class StoreSite:
+    """Daemons that learn the changes of one store."""
+
+    def __init__(self, monkeypatch: Any) -> None:
+        self.clock = VirtualClock()
+        self.store = MemoryStore(self.clock)
+        self.network = MemoryNetwork()
+        self.daemons: list[SiteDaemon] = []
+        self._connecting: str = ""
+        monkeypatch.setattr(
+            "fuchsiawell.gateway.control.change_feed.open_channel", self._open_channel
+        )
+
+    def add(self, name: str, hubs: list[str | None] | None = None) -> SiteDaemon:
+        """Start a daemon that uses these hubs in turn; None is the store itself."""
+        daemon = SiteDaemon(self, name, hubs or [None])
+        self.daemons.append(daemon)
+        daemon.start()
+        return daemon
+
+    def configure(self, version: int) -> float:
+        """Write a version of the configuration; return when the store acknowledged it."""
+        self.store.put("config", b"%d" % version)
+        return self.clock.monotonic()
+
+    async def age_until(self, condition: Callable[[], bool], since_s: float) -> float:
+        """Return the time from `since_s` until a condition holds, checked each 10 ms."""
+        async with asyncio.timeout(30):
+            while not condition():
+                await asyncio.sleep(0.01)
+        return self.clock.monotonic() - since_s
+
+    async def stop(self) -> None:
+        """End all daemons."""
+        tasks = [daemon.task for daemon in self.daemons if daemon.task is not None]
+        for daemon in self.daemons:
+            daemon.relay.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _open_channel(self, host: str, port: int, timeout_s: float) -> Any:
+        # A daemon connects from its own task.
+        task = asyncio.current_task()
+        client = next((d.name for d in self.daemons if d.task is task), "")
+        return await self.network.open(client, host, timeout_s)
--- a/libs/standins/src/fuchsiawell/standins/__init__.py
+++ b/libs/standins/src/fuchsiawell/standins/__init__.py
@@ -1,7 +1,13 @@
-"""Test doubles: an in-memory store with fault injection."""
+"""Test doubles: an in-memory store with fault injection, virtual time and connections."""
 
 from __future__ import annotations
 
 from fuchsiawell.standins.memory_store import MemoryStore
+from fuchsiawell.standins.virtual_time import (
+    MemoryNetwork,
+    VirtualClock,
+    host_pair,
+    run_in_virtual_time,
+)
 
-__all__ = ["MemoryStore"]
+__all__ = ["MemoryNetwork", "MemoryStore", "VirtualClock", "host_pair", "run_in_virtual_time"]
