Return a change that comes as a watch of the stand-in store ends

What was seen: in virtual time a daemon never learned of a configuration that was written in the very moment in which its watch ended: MemoryStore answered with no change and with the revision of that change, so the next watch began after it.

Cause: a fault of the stand-in; the timeout won over the change and the revision was read afterwards. Ruled out: the watcher, which goes on from the revision that it is told.

Evidence: test_watch_returns_a_change_that_comes_at_the_end_of_its_wait failed before.

Change: the events are collected again when the wait ends.

--- a/libs/standins/src/fuchsiawell/standins/memory_store.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_store.py
@@ -66,20 +66,13 @@
         self._start_call("watch")
         try:
             async with asyncio.timeout(wait.total_seconds()):
-                while True:
-                    if after < self._compacted_revision:
-                        raise HistoryLostError
-                    events = [
-                        item
-                        for item in self._events
-                        if item.revision > after and item.key.startswith(prefix)
-                    ]
-                    if events:
-                        return StoreChanges(events, self.revision)
+                while not (events := self._events_after(prefix, after)):
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
-            return StoreChanges([], self.revision)
+            # A change may have come at the very end of the wait.
+            events = self._events_after(prefix, after)
+        return StoreChanges(events, self.revision)
 
     async def write(self, writes: Sequence[Write], remove: Sequence[str] = ()) -> int:
         """Apply all writes and removals, or none."""
@@ -145,6 +138,13 @@
         for lease_id in [n for n, lease in self._leases.items() if lease.expires_at_s <= now_s]:
             self._remove_lease(lease_id)
 
+    def _events_after(self, prefix: str, after: int) -> Sequence[Item]:
+        if after < self._compacted_revision:
+            raise HistoryLostError
+        return [
+            item for item in self._events if item.revision > after and item.key.startswith(prefix)
+        ]
+
     def _remove_lease(self, lease_id: int) -> None:
         if self._leases.pop(lease_id, None) is not None:
             for key in [key for key, item in self._items.items() if item.lease == lease_id]:
