Let a hub say how old its knowledge is, and leave it when that is too old

Cause: daemons above 24 take store changes from a hub. The hub sent keep-alives while its own watch of the store had no answer, up to 2.7 s on a silent link, and a follower took a keep-alive as 'no changes'. It says that the hub lives, not how old its knowledge is.

Change: a follower polls its hub each 0.25 s; the hub answers with the age of its knowledge, once all changes until then are sent. As the answer is younger than the poll, the follower needs neither the hub's clock nor the time on the way. A follower leaves a hub and watches the store itself once its knowledge is older than 0.6 of the time in which changes must be in force (config_apply or drain, from the settings). A daemon with followers watches the store itself, each 0.4 s, so hubs are never chained, and confirms only what a watch shows: a response with changes shows the state at the watch's start, as it may have been late.

Why it works: whatever happens to the hub or the way to it, knowledge without a younger proof ends at 0.6 of the bound. A daemon of an earlier release gets its keep-alives; a hub of an earlier release proves nothing, so its new followers watch the store.

A hub whose first follower joins begins a new watch, as the one under way waits too long to confirm anything in time.

--- a/libs/gateway/src/fuchsiawell/gateway/config/settings.py
+++ b/libs/gateway/src/fuchsiawell/gateway/config/settings.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from datetime import timedelta
-
     from fuchsiawell.balance import RetryRules
 
 __all__ = ["Address", "Settings"]
 
+# Part of the time within which changes must be in force for which a daemon may rely on knowledge
+# that the store has not confirmed. The rest is for a call to the store, and for requests that a
+# draining owner of keys still gets.
+MAX_STORE_AGE_FRACTION = 0.6
+
 
 @dataclass(frozen=True)
 class Address:
@@ -39,6 +43,13 @@
     # Time from SIGTERM until the process is killed.
     stop_grace: timedelta
     retries: RetryRules
+    # Within this time after the store has acknowledged a configuration, it must be in force.
+    configuration_bound: timedelta = timedelta(seconds=2)
     # Limits of the host: processor cores and network link.
     cores: float = 1.0
     link_mbit_s: float = 1000.0
+
+    @property
+    def max_store_age(self) -> timedelta:
+        """How long a daemon may go on without a confirmation that it knows all store changes."""
+        return MAX_STORE_AGE_FRACTION * min(self.configuration_bound, self.drain)
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
@@ -3,26 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.control.change_frames import Follow, FrameReader, KeepAlive, encode_frame
+from fuchsiawell.gateway.control.change_frames import (
+    Confirmation,
+    Follow,
+    FrameReader,
+    KeepAlive,
+    Poll,
+    encode_frame,
+)
 from fuchsiawell.gateway.ports import StoreChanges
 from fuchsiawell.httpio import open_channel
 
 if TYPE_CHECKING:
+    from fuchsiawell.core import Clock
+    from fuchsiawell.gateway.control.change_frames import Frame
     from fuchsiawell.gateway.session.state import Peer
     from fuchsiawell.httpio import Channel
 
-__all__ = ["ChangeFeed", "FeedLostError"]
+__all__ = ["ChangeFeed", "FeedLostError", "FeedUpdate"]
 
 CONNECT_TIMEOUT_S = 0.6
-# Two of the hub's keep-alive intervals and some delay. Changes must be seen within about 3 s of the
-# loss of a link.
-RECEIVE_TIMEOUT_S = 1.3
+# Interval between requests for a confirmation.
+POLL_INTERVAL_S = 0.25
 
 
 class FeedLostError(Exception):
-    """The hub does not relay changes any more."""
+    """The hub does not relay changes any more, or not in time."""
 
     def __init__(self, step: str, peer: str, reason: str) -> None:
         super().__init__(f"{step} from {peer}: {reason}")
@@ -31,32 +40,47 @@
         self.reason = reason
 
 
+@dataclass(frozen=True)
+class FeedUpdate:
+    """Changes from a hub, and the monotonic time until which all changes are known with them."""
+
+    changes: StoreChanges
+    # None when the hub did not confirm it.
+    current_until_s: float | None = None
+
+
 class ChangeFeed:
     """A connection to the current hub."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, clock: Clock) -> None:
         self._own_name = name
+        self._clock = clock
         self._hub: Peer | None = None
         self._channel: Channel | None = None
         self._reader: FrameReader | None = None
+        self._next_poll_s = float("-inf")
 
-    async def next(self, hub: Peer, after: int) -> StoreChanges:
-        """Return changes after revision `after`, none on a keep-alive; raises FeedLostError."""
+    async def next(self, hub: Peer, after: int, until_s: float) -> FeedUpdate:
+        """Return changes after revision `after` or a confirmation.
+
+        Raises FeedLostError, at the monotonic time `until_s` if the hub sends nothing until then.
+        """
         try:
             if self._reader is None or hub != self._hub:
-                await self._connect(hub, after)
-            assert self._reader is not None
-            async with asyncio.timeout(RECEIVE_TIMEOUT_S):
-                frame = await self._reader.next()
+                await self._connect(hub, after, until_s)
+            frame = await self._next_frame(until_s)
         except (OSError, ValueError) as error:
             self.close()
             reason = str(error) or "timed out"
             raise FeedLostError("follow changes", f"{hub.host}:{hub.port}", reason) from error
         match frame:
             case StoreChanges(items, as_of):
-                return StoreChanges([item for item in items if item.revision > after], as_of)
+                newer = [item for item in items if item.revision > after]
+                return FeedUpdate(StoreChanges(newer, as_of))
+            case Confirmation(polled_s, age_s):
+                return FeedUpdate(StoreChanges([], after), polled_s - age_s)
             case KeepAlive():
-                return StoreChanges([], after)
+                return FeedUpdate(StoreChanges([], after))
             case _:
                 self.close()
                 reason = "connection closed" if frame is None else "changes are missing"
@@ -68,8 +92,25 @@
             self._channel.close()
         self._channel = self._reader = self._hub = None
 
-    async def _connect(self, hub: Peer, after: int) -> None:
+    async def _connect(self, hub: Peer, after: int, until_s: float) -> None:
         self.close()
-        self._channel = await open_channel(hub.host, hub.port, CONNECT_TIMEOUT_S)
+        timeout_s = min(CONNECT_TIMEOUT_S, until_s - self._clock.monotonic())
+        self._channel = await open_channel(hub.host, hub.port, timeout_s)
         self._hub, self._reader = hub, FrameReader(self._channel)
         self._channel.write(encode_frame(Follow(self._own_name, after)))
+        self._next_poll_s = float("-inf")
+
+    async def _next_frame(self, until_s: float) -> Frame | None:
+        """Return the next frame, and poll meanwhile; raises TimeoutError at `until_s`."""
+        assert self._channel is not None
+        assert self._reader is not None
+        while (now_s := self._clock.monotonic()) < until_s:
+            if now_s >= self._next_poll_s:
+                self._channel.write(encode_frame(Poll(now_s)))
+                self._next_poll_s = now_s + POLL_INTERVAL_S
+            try:
+                async with asyncio.timeout(min(until_s, self._next_poll_s) - now_s):
+                    return await self._reader.next()
+            except TimeoutError:
+                continue
+        raise TimeoutError("knowledge of the hub is too old")
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
@@ -12,7 +12,16 @@
 if TYPE_CHECKING:
     from fuchsiawell.httpio import Channel
 
-__all__ = ["Follow", "Frame", "FrameReader", "Gap", "KeepAlive", "encode_frame"]
+__all__ = [
+    "Confirmation",
+    "Follow",
+    "Frame",
+    "FrameReader",
+    "Gap",
+    "KeepAlive",
+    "Poll",
+    "encode_frame",
+]
 
 # Room for the largest store record and the changes that come with it.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -27,9 +36,28 @@
     after: int
 
 
+@dataclass(frozen=True)
+class Poll:
+    """A follower requests a confirmation; `sent_s` is its monotonic time."""
+
+    sent_s: float
+
+
+@dataclass(frozen=True)
+class Confirmation:
+    """The hub has sent all changes that the store made until `age_s` before this frame.
+
+    `polled_s` is the `sent_s` of the latest poll. The frame is younger than that poll, so the
+    follower needs neither the hub's clock nor the time that the frame took.
+    """
+
+    polled_s: float
+    age_s: float
+
+
 @dataclass(frozen=True)
 class KeepAlive:
-    """The hub still receives store changes; there are none at the moment."""
+    """The hub still runs; sent to followers of an earlier release, which do not poll."""
 
 
 @dataclass(frozen=True)
@@ -37,7 +65,7 @@
     """The hub does not have all changes after the requested revision."""
 
 
-Frame = Follow | KeepAlive | Gap | StoreChanges
+Frame = Follow | Poll | Confirmation | KeepAlive | Gap | StoreChanges
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -45,6 +73,10 @@
     match frame:
         case Follow(name, after):
             row: list[object] = ["follow", name, after]
+        case Poll(sent_s):
+            row = ["poll", sent_s]
+        case Confirmation(polled_s, age_s):
+            row = ["current", polled_s, age_s]
         case KeepAlive():
             row = ["alive"]
         case Gap():
@@ -83,6 +115,10 @@
         match msgpack.unpackb(data):
             case ["follow", str(name), int(after)]:
                 return Follow(name, after)
+            case ["poll", float(sent_s)]:
+                return Poll(sent_s)
+            case ["current", float(polled_s), float(age_s)]:
+                return Confirmation(polled_s, age_s)
             case ["alive"]:
                 return KeepAlive()
             case ["gap"]:
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
@@ -4,17 +4,21 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.control.change_frames import (
+    Confirmation,
     Follow,
     FrameReader,
     Gap,
     KeepAlive,
+    Poll,
     encode_frame,
 )
 
 if TYPE_CHECKING:
+    from fuchsiawell.gateway.control.change_frames import Frame
     from fuchsiawell.gateway.ports import StoreChanges
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.httpio import Channel
@@ -23,13 +27,23 @@
 
 # Batches of changes, one per watch, kept for followers that reconnect after a short interruption.
 MAX_KEPT_BATCHES = 64
-# Interval between keep-alive frames while there are no changes.
+# Interval between keep-alive frames to a follower that does not poll.
 KEEP_ALIVE_S = 0.5
 # Longest wait for a follower's request, and for a follower to receive a frame. It is disconnected
 # then, and watches the store itself.
 FOLLOWER_TIMEOUT_S = 2.0
 
 
+@dataclass
+class _Follower:
+    channel: Channel
+    # Set when there is something to send.
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    # The latest poll without a confirmation, in the follower's time.
+    polled_s: float | None = None
+    polls: bool = False
+
+
 class ChangeRelay:
     """Serve followers while this daemon receives store changes."""
 
@@ -39,9 +53,23 @@
         # All changes after this revision are kept; None while changes may be missed.
         self._complete_after: int | None = None
         self._as_of = 0
-        self._changed = asyncio.Event()
+        # Monotonic time until which all changes are known; None before the first confirmation.
+        self._current_until_s: float | None = None
+        self._followers: list[_Follower] = []
+        self._follower_joined = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def has_followers(self) -> bool:
+        """Return whether other daemons depend on this one's knowledge."""
+        return bool(self._followers)
+
+    async def wait_for_follower(self) -> None:
+        """Wait until another daemon depends on this one's knowledge."""
+        self._follower_joined.clear()
+        if not self._followers:
+            await self._follower_joined.wait()
+
     def accept(self, channel: Channel) -> None:
         """Serve a follower on a new connection."""
         task = asyncio.get_running_loop().create_task(self._serve(channel))
@@ -66,6 +94,11 @@
             self._complete_after = self._batches.popleft().as_of
         self._notify()
 
+    def confirm(self, current_until_s: float) -> None:
+        """Record that all changes until a monotonic time have been published."""
+        if self._current_until_s is None or current_until_s > self._current_until_s:
+            self._current_until_s = current_until_s
+
     def on_store_lost(self) -> None:
         """End the service of all followers: changes may be missed from now on."""
         if self._complete_after is None:
@@ -83,12 +116,12 @@
         name, reason = "", "connection closed"
         try:
             async with asyncio.timeout(FOLLOWER_TIMEOUT_S):
-                request = await FrameReader(channel).next()
+                reader = FrameReader(channel)
+                request = await reader.next()
             if not isinstance(request, Follow):
                 return
             name = request.name
-            await self._send_changes(channel, request.after)
-            reason = "changes are missing"
+            reason = await self._serve_follower(channel, reader, request.after)
         except (OSError, ValueError) as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -97,28 +130,58 @@
             )
             channel.close()
 
-    async def _send_changes(self, channel: Channel, after: int) -> None:
-        while not channel.at_eof:
-            complete_after, changed = self._complete_after, self._changed
-            if complete_after is None or after < complete_after:
-                await self._send(channel, encode_frame(Gap()))
-                return
+    async def _serve_follower(self, channel: Channel, reader: FrameReader, after: int) -> str:
+        """Send changes until the follower leaves or changes are missing; return the reason."""
+        follower = _Follower(channel)
+        self._followers.append(follower)
+        self._follower_joined.set()
+        reading = asyncio.get_running_loop().create_task(_read_polls(reader, follower))
+        try:
+            return await self._send_changes(follower, after)
+        finally:
+            self._followers.remove(follower)
+            reading.cancel()
+
+    async def _send_changes(self, follower: _Follower, after: int) -> str:
+        while not follower.channel.at_eof:
+            follower.wake.clear()
+            if self._complete_after is None or after < self._complete_after:
+                await self._send(follower, Gap())
+                return "changes are missing"
             pending = [batch for batch in self._batches if batch.as_of > after]
             for batch in pending:
-                await self._send(channel, encode_frame(batch))
+                await self._send(follower, batch)
                 after = batch.as_of
             if pending:
                 continue
+            if follower.polled_s is not None and self._current_until_s is not None:
+                polled_s, follower.polled_s = follower.polled_s, None
+                age_s = self._session.now_s - self._current_until_s
+                await self._send(follower, Confirmation(polled_s, age_s))
+                continue
             try:
                 async with asyncio.timeout(KEEP_ALIVE_S):
-                    await changed.wait()
+                    await follower.wake.wait()
             except TimeoutError:
-                await self._send(channel, encode_frame(KeepAlive()))
+                if not follower.polls:
+                    await self._send(follower, KeepAlive())
+        return "connection closed"
 
-    async def _send(self, channel: Channel, frame: bytes) -> None:
+    async def _send(self, follower: _Follower, frame: Frame) -> None:
         async with asyncio.timeout(FOLLOWER_TIMEOUT_S):
-            await channel.send(frame)
+            await follower.channel.send(encode_frame(frame))
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        for follower in self._followers:
+            follower.wake.set()
+
+
+async def _read_polls(reader: FrameReader, follower: _Follower) -> None:
+    """Read polls until the follower leaves or sends anything else."""
+    try:
+        while isinstance(frame := await reader.next(), Poll):
+            follower.polled_s, follower.polls = frame.sent_s, True
+            follower.wake.set()
+    except (OSError, ValueError):
+        follower.channel.close()
+    follower.wake.set()
--- a/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
@@ -43,7 +43,7 @@
 BLOCK_DELAY_S = 0.01
 # No second move for load within this time: the new owner's queue and latency factor must settle.
 MOVE_COOLDOWN_S = 3.0
-# Nothing is moved if the last contact with the store is older: a watch of 2 s and its response.
+# Nothing is moved by older knowledge of the store: longer than a watch and its response take.
 MAX_STORE_AGE_S = 3.0
 ACCEPTED = 200
 
@@ -161,7 +161,7 @@
     async def _rebalance_loop(self) -> None:
         while True:
             await asyncio.sleep(REBALANCE_INTERVAL_S)
-            if self._session.now_s - self._session.last_store_contact_s < MAX_STORE_AGE_S:
+            if self._session.store_age_s < MAX_STORE_AGE_S:
                 await self._rebalance()
 
     def _renew_all(self) -> None:
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -21,17 +21,22 @@
 
     from fuchsiawell.gateway.control.change_relay import ChangeRelay
     from fuchsiawell.gateway.control.hubs import HubSelector
-    from fuchsiawell.gateway.ports import Item, RecordDecoder, Store
+    from fuchsiawell.gateway.ports import Item, RecordDecoder, Store, StoreChanges
     from fuchsiawell.gateway.session.state import Peer, Session
 
 __all__ = ["StoreWatcher"]
 
 # A watch without changes returns after this time, which also reveals a connection that stopped
 # responding: changes must be seen within about 3 s of such a loss.
-WATCH_TIMEOUT = timedelta(seconds=2)
+WATCH_TIMEOUT_S = 2.0
+# The same while other daemons depend on this one's knowledge: a part of the time for which they
+# may go on without a confirmation.
+RELAY_WATCH_TIMEOUT_S = 0.4
 # Delay after changes before the next watch: each change wakes every daemon, and several come
 # together when servers are replaced. Well below the 2 s within which changes must be seen.
 REWATCH_DELAY_S = 0.25
+# The same while other daemons depend on this one's knowledge.
+RELAY_REWATCH_DELAY_S = 0.1
 # Delay after changes that other daemons had already reported: under load, moves change the shard
 # map about every second, and each change would cost a call from every daemon.
 KNOWN_REWATCH_DELAY_S = 0.9
@@ -56,7 +61,7 @@
         self._store_unavailable = False
         self._hubs: HubSelector | None = None
         self._relay: ChangeRelay | None = None
-        self._feed = ChangeFeed(session.settings.daemon)
+        self._feed = ChangeFeed(session.settings.daemon, session.clock)
         self._direct_watch_until_s = 0.0
         # For logs: where the changes being applied came from, the store or the name of a hub, and
         # the time until then since the last contact.
@@ -69,21 +74,25 @@
 
     async def run(self) -> None:
         """List the store once, then watch it until cancelled."""
+        session = self._session
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
             try:
                 if self._as_of is None:
                     await self._list()
-                await self._watch_once()
+                if (hub := self._current_hub()) is None:
+                    await self._watch_store()
+                else:
+                    await self._follow(hub)
                 retry_delay_s = MIN_RETRY_DELAY_S
             except HistoryLostError:
-                self._session.log.event("store history lost", step="watch", as_of=self._as_of)
+                session.log.event("store history lost", step="watch", as_of=self._as_of)
                 self._as_of = None
                 if self._relay is not None:
                     self._relay.on_store_lost()
             except StoreUnavailableError as error:
                 self._on_store_error(error)
-                await asyncio.sleep(retry_delay_s * self._session.random.uniform(0.7, 1.3))
+                await asyncio.sleep(retry_delay_s * session.random.uniform(0.7, 1.3))
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 1.7)
 
     def expire_backends(self) -> None:
@@ -92,8 +101,9 @@
             self._session.log.event("backend gone", server=backend_id, why="entry did not return")
 
     async def _list(self) -> None:
+        started_s = self._session.now_s
         listing = await self._store.list("")
-        self._on_store_contact(STORE_SOURCE)
+        self._on_store_contact(STORE_SOURCE, started_s)
         session = self._session
         prefix = self._records.backends_prefix
         present = {item.key for item in listing.items}
@@ -108,32 +118,83 @@
         self._as_of = listing.as_of
         if self._relay is not None:
             self._relay.reset(listing.as_of)
+            self._relay.confirm(started_s)
         session.log.event("store listed", items=len(listing.items), as_of=listing.as_of)
 
-    async def _watch_once(self) -> None:
+    async def _watch_store(self) -> None:
         assert self._as_of is not None
-        hub = self._current_hub()
-        if hub is None:
-            changes = await self._store.watch("", self._as_of, WATCH_TIMEOUT)
-        else:
-            try:
-                changes = await self._feed.next(hub, self._as_of)
-            except FeedLostError as error:
-                self._on_feed_lost(error)
-                return
-        self._on_store_contact(STORE_SOURCE if hub is None else hub.name)
+        session, started_s, wait = self._session, self._session.now_s, self._watch_wait()
+        changes = await self._watch(self._as_of, wait)
+        if changes is None:
+            return
+        self._on_store_contact(STORE_SOURCE, session.now_s)
+        any_new = self._apply_changes(changes)
+        if self._relay is not None:
+            # The response may have been on its way for long: only a watch that waited for all of
+            # its time shows that there was no change until then.
+            waited_s = wait.total_seconds()
+            waited = not changes.items and session.now_s >= started_s + waited_s
+            self._relay.confirm(started_s + (waited_s if waited else 0.0))
+        if changes.items:
+            if self._relay is not None and self._relay.has_followers:
+                await asyncio.sleep(RELAY_REWATCH_DELAY_S)
+            else:
+                await asyncio.sleep(REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S)
+
+    async def _watch(self, after: int, wait: timedelta) -> StoreChanges | None:
+        """Return the changes; None if a first follower joined, for which the wait is too long."""
+        watch = asyncio.ensure_future(self._store.watch("", after, wait))
+        if self._relay is None or self._relay.has_followers:
+            return await watch
+        joined = asyncio.ensure_future(self._relay.wait_for_follower())
+        try:
+            await asyncio.wait({watch, joined}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            joined.cancel()
+
+    async def _follow(self, hub: Peer) -> None:
+        assert self._as_of is not None
+        session = self._session
+        max_age_s = session.settings.max_store_age.total_seconds()
+        try:
+            update = await self._feed.next(hub, self._as_of, session.current_until_s + max_age_s)
+        except FeedLostError as error:
+            self._on_feed_lost(error)
+            return
+        self._source, self._unconfirmed_s = hub.name, session.store_age_s
+        self._apply_changes(update.changes)
+        if (
+            update.current_until_s is not None
+            and session.now_s - update.current_until_s < max_age_s
+        ):
+            self._on_store_contact(hub.name, update.current_until_s)
+            if self._relay is not None:
+                self._relay.confirm(update.current_until_s)
+
+    def _apply_changes(self, changes: StoreChanges) -> bool:
+        """Apply and publish changes; return whether any was new to this daemon."""
         any_new = any([self._apply(item) for item in changes.items])
-        self._as_of = max(self._as_of, changes.as_of)
+        self._as_of = max(self._as_of or 0, changes.as_of)
         if self._relay is not None:
             self._relay.publish(changes)
-        if changes.items and hub is None:
-            await asyncio.sleep(REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S)
+        return any_new
+
+    def _watch_wait(self) -> timedelta:
+        relays = self._relay is not None and self._relay.has_followers
+        return timedelta(seconds=RELAY_WATCH_TIMEOUT_S if relays else WATCH_TIMEOUT_S)
 
     def _current_hub(self) -> Peer | None:
-        """Return the hub to receive changes from; None to watch the store, as the granter must."""
+        """Return the hub to receive changes from; None to watch the store.
+
+        The granter must watch the store, and so must a daemon that is a hub itself.
+        """
         session = self._session
         if self._hubs is None or session.granter == session.settings.daemon:
             return None
+        if self._relay is not None and self._relay.has_followers:
+            return None
         return self._hubs.hub if session.now_s >= self._direct_watch_until_s else None
 
     def _on_feed_lost(self, error: FeedLostError) -> None:
@@ -144,9 +205,10 @@
         self._direct_watch_until_s = self._session.now_s + DIRECT_WATCH_S
         self._hubs.fail_over("change feed lost")
 
-    def _on_store_contact(self, source: str) -> None:
-        self._source, self._unconfirmed_s = source, self._session.store_age_s
-        self._session.last_store_contact_s = self._session.now_s
+    def _on_store_contact(self, source: str, current_until_s: float) -> None:
+        session = self._session
+        self._source, self._unconfirmed_s = source, session.store_age_s
+        session.current_until_s = max(session.current_until_s, current_until_s)
         if self._store_unavailable:
             self._store_unavailable = False
             self._session.directory.on_store_available(self._session.now_s)
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -31,7 +31,7 @@
 __all__ = ["InFlightRequest", "Peer", "Session"]
 
 # Part of the drain time for which a draining owner of keys still gets requests, counted from when
-# this daemon learns of the drain: that may be a second late, and requests in transit take time.
+# this daemon learns of the drain: that may be late by 0.6 of the drain time (max_store_age).
 DRAINING_OWNER_FRACTION = 0.3
 # A daemon whose entry has expired is removed when not heard from for this long; a daemon with any
 # load sends a report twice a second.
@@ -102,8 +102,9 @@
         self._last_contact_s: dict[str, float] = {}
         self.granter: str | None = None
         self.stopping = False
-        # Monotonic time of the store's last response to this daemon; its start until there is one.
-        self.last_store_contact_s = clock.monotonic()
+        # Monotonic time until which this daemon knows all changes of the store, as far as it can
+        # tell; its start until it knows any.
+        self.current_until_s = clock.monotonic()
         self.latency_estimates = LatencyEstimates()
         self.outlier_detector = OutlierDetector()
         self.in_flight_counts = InFlightCounts()
@@ -130,7 +131,7 @@
     @property
     def store_age_s(self) -> float:
         """Return the time since the store last confirmed what this daemon knows."""
-        return self.now_s - self.last_store_contact_s
+        return self.now_s - self.current_until_s
 
     @property
     def local_peer(self) -> Peer:
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -6,15 +6,22 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 from store_site import StoreSite
 
-from fuchsiawell.standins import run_in_virtual_time
+from fuchsiawell.standins import host_pair, run_in_virtual_time
 
-# `config_apply` of the deployment of issue 19.
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from store_site import SiteDaemon
+
+# `config_apply` of the deployment of issue 19, and the shortest that the pages name.
 CONFIGURATION_BOUND_S = 2.5
-# The hub's watch begins anew every 2 s; changes come at these times after its link went silent.
+SHORTEST_BOUND_S = 2.0
+# Changes come at these times after a fault has begun.
 CHANGE_DELAYS_S = [0.05, 0.2, 0.6, 1.0, 1.4, 1.9]
 
 
@@ -42,3 +49,124 @@
         assert age_s <= CONFIGURATION_BOUND_S
 
     run_in_virtual_time(run())
+
+
+def _lose_store_link(site: StoreSite, hub: SiteDaemon) -> None:
+    hub.link.silent = True
+
+
+def _suspend_watcher(site: StoreSite, hub: SiteDaemon) -> None:
+    assert hub.task is not None
+    hub.task.cancel()
+
+
+def _cut_from_follower(site: StoreSite, hub: SiteDaemon) -> None:
+    site.network.silent.add(host_pair("hub", "follower"))
+
+
+def _delay_to_follower(site: StoreSite, hub: SiteDaemon) -> None:
+    site.network.delay_s[host_pair("hub", "follower")] = 0.9
+
+
+def _delay_and_lose_store_link(site: StoreSite, hub: SiteDaemon) -> None:
+    site.network.delay_s[host_pair("hub", "follower")] = 0.4
+    hub.link.silent = True
+
+
+@pytest.mark.parametrize("change_delay_s", CHANGE_DELAYS_S)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        _lose_store_link,
+        _suspend_watcher,
+        _cut_from_follower,
+        _delay_to_follower,
+        _delay_and_lose_store_link,
+    ],
+)
+# Guards against a follower that relies on a hub in trouble for longer than the shortest bound.
+def test_follower_of_a_hub_in_trouble_takes_a_configuration_within_the_shortest_bound(
+    fault: Callable[[StoreSite, SiteDaemon], None],
+    change_delay_s: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        hub = site.add("hub")
+        await asyncio.sleep(0.5)
+        follower = site.add("follower", ["hub", None])
+        await asyncio.sleep(5.0)
+        fault(site, hub)
+        await asyncio.sleep(change_delay_s)
+        acknowledged_s = site.configure(2)
+        age_s = await site.age_until(lambda: follower.version == 2, acknowledged_s)
+        await site.stop()
+        assert age_s <= SHORTEST_BOUND_S
+
+    run_in_virtual_time(run())
+
+
+@pytest.mark.parametrize("change_delay_s", CHANGE_DELAYS_S)
+# Guards against a chain: the second hub follows the first, which has lost the store, and confirms
+# to its own followers what it does not know itself.
+def test_follower_of_a_second_hub_takes_a_configuration_although_the_first_lost_the_store(
+    change_delay_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        first = site.add("first")
+        await asyncio.sleep(0.5)
+        site.add("second", ["first", None])
+        await asyncio.sleep(0.5)
+        follower = site.add("follower", ["second", None])
+        await asyncio.sleep(5.0)
+        first.link.silent = True
+        await asyncio.sleep(change_delay_s)
+        acknowledged_s = site.configure(2)
+        age_s = await site.age_until(lambda: follower.version == 2, acknowledged_s)
+        await site.stop()
+        assert age_s <= SHORTEST_BOUND_S
+
+    run_in_virtual_time(run())
+
+
+@pytest.mark.parametrize("quiet_s", [0.1, 0.5, 0.9, 1.3, 1.7, 2.1])
+# Guards against a hub that cannot confirm anything to its first follower, as its own watch has
+# begun before and waits for long.
+def test_follower_stays_at_a_hub_that_was_watching_before(
+    quiet_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        site.add("hub")
+        await asyncio.sleep(quiet_s)
+        follower = site.add("follower", ["hub", None])
+        await asyncio.sleep(10.0)
+        await site.stop()
+        assert (follower.hubs.failovers, follower.link.watches) == (0, 0)
+
+    run_in_virtual_time(run())
+
+
+# Guards against false alarms: a hub without trouble must not lose its followers, or all daemons
+# watch the store.
+def test_followers_stay_at_a_hub_without_trouble(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        site.add("hub")
+        await asyncio.sleep(0.5)
+        followers = [site.add(f"follower-{number}", ["hub", None]) for number in range(3)]
+        for version in range(2, 40):
+            await asyncio.sleep(site.random.uniform(0.0, 1.5))
+            site.configure(version)
+        await asyncio.sleep(2.0)
+        await site.stop()
+        assert [daemon.hubs.failovers for daemon in followers] == [0, 0, 0]
+        assert [daemon.link.watches for daemon in followers] == [0, 0, 0]
+        assert [daemon.version for daemon in followers] == [39, 39, 39]
+
+    run_in_virtual_time(run())
