Notice a silent store connection within the time that makes a host undisturbed

What callers may see: a daemon counts as undisturbed 3 s (contact) after a disruption, and must know all changes then.

Cause: the delay before a watch (up to 0.9 s), its wait (2 s), its margin (0.7 s) and the back-off after its failure (up to 0.78 s) added up.

Change: the wait is what is left of 1.6 s after the delay; the back-off counts from the start of the failed call; while the store does not respond a watch waits 0.4 s.

Ruled out: a shorter margin; responses of a slow store take up to 0.4 s.

Cost: a quarter more watches on a quiet site (1.6 s in place of 2 s).

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -26,12 +26,15 @@
 
 __all__ = ["StoreWatcher"]
 
-# A watch without changes returns after this time, which also reveals a connection that stopped
-# responding: changes must be seen within about 3 s of such a loss.
-WATCH_TIMEOUT_S = 2.0
+# Time from the end of one watch without changes to the end of the next, including the delay before
+# it. A store connection that stops responding is noticed this time and WATCH_MARGIN_S later, which
+# must be below the 3 s after which a host counts as undisturbed again.
+WATCH_INTERVAL_S = 1.6
 # The same while other daemons depend on this one's knowledge: a part of the time for which they
 # may go on without a confirmation.
-RELAY_WATCH_TIMEOUT_S = 0.4
+RELAY_WATCH_INTERVAL_S = 0.4
+# The same while the store does not respond, so that its return is noticed soon.
+OUTAGE_WATCH_INTERVAL_S = 0.4
 # Delay after changes before the next watch: each change wakes every daemon, and several come
 # together when servers are replaced. Well below the 2 s within which changes must be seen.
 REWATCH_DELAY_S = 0.25
@@ -57,6 +60,8 @@
         self._store = store
         self._records = records
         self._as_of: int | None = None
+        # Delay since the last watch, part of the interval of the next.
+        self._rewatch_delay_s = 0.0
         self._config_revision = 0
         self._store_unavailable = False
         self._hubs: HubSelector | None = None
@@ -77,6 +82,7 @@
         session = self._session
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
+            started_s = session.now_s
             try:
                 if self._as_of is None:
                     await self._list()
@@ -92,7 +98,9 @@
                     self._relay.on_store_lost()
             except StoreUnavailableError as error:
                 self._on_store_error(error)
-                await asyncio.sleep(retry_delay_s * session.random.uniform(0.7, 1.3))
+                # A call that took long to fail has already been a delay.
+                next_s = started_s + retry_delay_s * session.random.uniform(0.7, 1.3)
+                await asyncio.sleep(max(0.0, next_s - session.now_s))
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 1.7)
 
     def expire_backends(self) -> None:
@@ -135,11 +143,13 @@
             waited_s = wait.total_seconds()
             waited = not changes.items and session.now_s >= started_s + waited_s
             self._relay.confirm(started_s + (waited_s if waited else 0.0))
+        self._rewatch_delay_s = 0.0
         if changes.items:
             if self._relay is not None and self._relay.has_followers:
-                await asyncio.sleep(RELAY_REWATCH_DELAY_S)
+                self._rewatch_delay_s = RELAY_REWATCH_DELAY_S
             else:
-                await asyncio.sleep(REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S)
+                self._rewatch_delay_s = REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S
+            await asyncio.sleep(self._rewatch_delay_s)
 
     async def _watch(self, after: int, wait: timedelta) -> StoreChanges | None:
         """Return the changes; None if a first follower joined, for which the wait is too long."""
@@ -182,8 +192,12 @@
         return any_new
 
     def _watch_wait(self) -> timedelta:
-        relays = self._relay is not None and self._relay.has_followers
-        return timedelta(seconds=RELAY_WATCH_TIMEOUT_S if relays else WATCH_TIMEOUT_S)
+        interval_s = WATCH_INTERVAL_S
+        if self._store_unavailable:
+            interval_s = OUTAGE_WATCH_INTERVAL_S
+        elif self._relay is not None and self._relay.has_followers:
+            interval_s = RELAY_WATCH_INTERVAL_S
+        return timedelta(seconds=max(0.0, interval_s - self._rewatch_delay_s))
 
     def _current_hub(self) -> Peer | None:
         """Return the hub to receive changes from; None to watch the store.
--- a/libs/gateway/tests/store_site.py
+++ b/libs/gateway/tests/store_site.py
@@ -18,22 +18,28 @@
     from collections.abc import Awaitable, Callable, Sequence
     from datetime import timedelta
 
+    from fuchsiawell.core import Clock
+
 __all__ = ["SiteDaemon", "StoreLink", "StoreSite"]
 
 CALL_TIMEOUT_S = 0.9
 # How long after its wait a watch without a response fails, as in the platform's adapter.
 WATCH_MARGIN_S = 0.7
+# A connection is used again within this time, as in the platform's adapter.
+MAX_IDLE_S = 1.5
 
 
 class StoreLink(Store):
     """A daemon's link to the store.
 
-    While `silent`, nothing passes, and calls fail late. After `break_connection`, the next call
-    fails late: the open connection no longer carries anything, but new ones do.
+    While `silent`, nothing passes, and calls fail late. After `break_connection`, the open
+    connection no longer carries anything, but new ones do.
     """
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, clock: Clock) -> None:
         self._store = store
+        self._clock = clock
+        self._last_used_s = float("-inf")
         self.silent = False
         self._broken = False
         self.watches = 0
@@ -66,6 +72,8 @@
 
     async def _call(self, step: str, call: Awaitable[Any], timeout_s: float) -> Any:
         lost = self.silent
+        if self._clock.monotonic() - self._last_used_s >= MAX_IDLE_S:
+            self._broken = False
         try:
             async with asyncio.timeout(timeout_s):
                 result = await call
@@ -75,6 +83,8 @@
         except TimeoutError as error:
             self._broken = False
             raise StoreUnavailableError(step, "store", "no answer in time", True) from error
+        finally:
+            self._last_used_s = self._clock.monotonic()
 
 
 class FixedHubs:
@@ -97,7 +107,7 @@
 
     def __init__(self, site: StoreSite, name: str, hubs: list[str | None]) -> None:
         self.name = name
-        self.link = StoreLink(site.store)
+        self.link = StoreLink(site.store, site.clock)
         self.session = session(cast("Any", site.clock), name)
         self.relay = ChangeRelay(self.session)
         self.watcher = StoreWatcher(self.session, self.link, FakeRecordDecoder())
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -11,6 +11,8 @@
 import pytest
 from store_site import StoreSite
 
+from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
+from fuchsiawell.shards import ShardMap, encode_map
 from fuchsiawell.standins import host_pair, run_in_virtual_time
 
 if TYPE_CHECKING:
@@ -21,6 +23,8 @@
 # `config_apply` of the deployment of issue 19, and the shortest that the pages name.
 CONFIGURATION_BOUND_S = 2.5
 SHORTEST_BOUND_S = 2.0
+# After this time without disruption a daemon counts as undisturbed (`contact`).
+CONTACT_S = 3.0
 # Changes come at these times after a fault has begun.
 CHANGE_DELAYS_S = [0.05, 0.2, 0.6, 1.0, 1.4, 1.9]
 
@@ -170,3 +174,56 @@
         assert [daemon.version for daemon in followers] == [39, 39, 39]
 
     run_in_virtual_time(run())
+
+
+# Guards against a store connection that goes silent while a daemon delays its next watch: the
+# delay and the time until the silence is noticed add up.
+def test_configuration_is_in_force_soon_after_a_store_connection_went_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        daemon = site.add("daemon")
+        await asyncio.sleep(0.5)
+        known_map = ShardMap("s", 1, "d-9", 5, ())
+        daemon.session.apply_shard_map(known_map, "peer")
+        # The daemon knows this change already, so it delays its next watch the longest.
+        site.store.put(SHARDS_PREFIX + "s", encode_map(known_map))
+        await asyncio.sleep(0.01)
+        daemon.link.break_connection()
+        broken_s = site.clock.monotonic()
+        site.configure(2)
+        assert await site.age_until(lambda: daemon.version == 2, broken_s) <= CONTACT_S
+        await site.stop()
+
+    run_in_virtual_time(run())
+
+
+@pytest.mark.parametrize("outage_s", [0.1, 0.5, 1.1, 1.7, 2.3, 3.1, 4.0, 7.7])
+@pytest.mark.parametrize("hubs", [[None], ["hub", None]])
+# Guards against a slow return: a change made at the end of a disruption must be in force once the
+# daemon counts as undisturbed, although a call that began before has to time out first.
+def test_configuration_is_in_force_once_a_store_outage_has_been_over_for_contact(
+    hubs: list[str | None], outage_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        site.add("hub")
+        await asyncio.sleep(0.5)
+        daemon = site.add("daemon", hubs)
+        await asyncio.sleep(5.0)
+        for other in site.daemons:
+            other.link.silent = True
+        await asyncio.sleep(outage_s)
+        site.configure(2)
+        for other in site.daemons:
+            other.link.silent = False
+            # What was sent during the outage does not arrive any more.
+            other.link.break_connection()
+        over_s = site.clock.monotonic()
+        assert await site.age_until(lambda: daemon.version == 2, over_s) <= CONTACT_S
+        await site.stop()
+
+    run_in_virtual_time(run())
