Ignore changes that are older than the listed entry

What callers may see: requests to a server whose leaving was already known, for the moment between two changes.

Cause: pages of a listing are read one after the other, and the watch that follows begins at the first page's revision, so it repeats changes older than entries of later pages. Only the configuration was compared by revision.

Change: the revision applied last is kept by key, and older changes are dropped, for servers, daemons, maps and the granter as well.

Evidence: test_change_older_than_the_listed_entry_is_ignored fails without the change.

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -62,7 +62,8 @@
         self._as_of: int | None = None
         # Delay since the last watch, part of the interval of the next.
         self._rewatch_delay_s = 0.0
-        self._config_revision = 0
+        # Revision of each key that was applied last.
+        self._revision_by_key: dict[str, int] = {}
         self._store_unavailable = False
         self._hubs: HubSelector | None = None
         self._relay: ChangeRelay | None = None
@@ -121,6 +122,9 @@
             session.mark_peer_expired(name)
         if GRANTER_KEY not in present:
             self._set_granter(None)
+        self._revision_by_key = {
+            key: revision for key, revision in self._revision_by_key.items() if key in present
+        }
         for item in listing.items:
             self._apply(item)
         self._as_of = listing.as_of
@@ -242,6 +246,14 @@
     def _apply(self, item: Item) -> bool:
         """Apply an item; return whether it was new to this daemon."""
         key = item.key
+        # Pages of a listing are read one after the other, and the watch that follows begins at the
+        # first: it repeats older changes of keys on later pages.
+        if item.revision <= self._revision_by_key.get(key, 0):
+            return False
+        if item.value is None:
+            self._revision_by_key.pop(key, None)
+        else:
+            self._revision_by_key[key] = item.revision
         if key.startswith(SHARDS_PREFIX):
             return self._apply_map(item)
         if key == self._records.configuration_key:
@@ -256,7 +268,7 @@
 
     def _apply_configuration(self, item: Item) -> None:
         session = self._session
-        if item.value is None or item.revision <= self._config_revision:
+        if item.value is None:
             return
         try:
             configuration = self._records.decode_configuration(item.value)
@@ -265,7 +277,6 @@
                 "configuration unreadable, keeping the current one", reason=str(error)
             )
             return
-        self._config_revision = item.revision
         session.configuration = configuration
         session.log.event(
             "configuration taken",
--- a/libs/gateway/tests/builders.py
+++ b/libs/gateway/tests/builders.py
@@ -90,7 +90,7 @@
 
 
 class FakeRecordDecoder(RecordDecoder):
-    """Decodes digits as a configuration version and b"good" as a server."""
+    """Decodes digits as a configuration version, b"good" and b"leaving" as a server."""
 
     configuration_key = "config"
     backends_prefix = "servers/"
@@ -101,4 +101,6 @@
         return configuration(version=int(value))
 
     def decode_backend(self, key: str, value: bytes):
-        return backend(key.removeprefix("servers/")) if value == b"good" else None
+        if value not in (b"good", b"leaving"):
+            return None
+        return backend(key.removeprefix("servers/"), draining=value == b"leaving")
--- a/libs/gateway/tests/test_store_watcher.py
+++ b/libs/gateway/tests/test_store_watcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import suppress
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -14,11 +15,15 @@
 from fuchsiawell.gateway.control import store_watcher as module
 from fuchsiawell.gateway.control.store_keys import DAEMONS_PREFIX, GRANTER_KEY, encode_peer
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
+from fuchsiawell.gateway.ports import Item, StoreChanges
 from fuchsiawell.gateway.session.state import Peer
 from fuchsiawell.standins import MemoryStore
 
 from builders import FakeRecordDecoder, log_events, session
 
+if TYPE_CHECKING:
+    from datetime import timedelta
+
 
 @pytest.fixture(autouse=True)
 def no_delays(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -104,3 +109,24 @@
     await harness.run_until(lambda: harness.session.configuration is not None)
     (event,) = log_events(harness.session, "configuration taken")
     assert (event["source"], event["unconfirmed_ms"]) == ("store", 1700)
+
+
+class ReplayingStore(MemoryStore):
+    """Its first page is read before a server leaves, a later page after; the watch repeats all."""
+
+    async def list(self, prefix: str) -> StoreChanges:
+        return StoreChanges([Item("servers/i-1", b"leaving", 5)], 3)
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> StoreChanges:
+        changes = [Item("servers/i-1", b"good", 4), Item("servers/i-2", b"good", 6)]
+        return StoreChanges(changes, 6)
+
+
+# Guards against a server that gets requests again although its leaving was known: changes that are
+# older than the listing came after it.
+async def test_change_older_than_the_listed_entry_is_ignored() -> None:
+    harness = Harness()
+    harness.store = ReplayingStore(harness.clock)
+    harness.watcher = StoreWatcher(harness.session, harness.store, FakeRecordDecoder())
+    await harness.run_until(lambda: "i-2" in harness.session.directory.by_id)
+    assert harness.session.directory.by_id["i-1"].draining
