Do not take a lease renewal as proof that the granter knows all changes

What callers may see: keys moved by an old list of servers, up to a watch and its margin old.

Cause: the granter's renewals, each 0.3 s, set the time of the last contact with the store, by which ServiceGranter decides whether it may move keys. A renewal says that the store answers, not what has changed; the watch is another connection.

Change: only listings, watches and confirmations of a hub set that time.

Ruled out: a fault of fencing; grants were safe all the while.

--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -127,7 +127,7 @@
                     break
                 try:
                     await self._store.renew_lease(self._lease_id)
-                    last_contact_s = session.current_until_s = session.now_s
+                    last_contact_s = session.now_s
                 except StoreUnavailableError as error:
                     session.metrics.count("store_failures", error.step)
                 await asyncio.sleep(LEASE_RENEWAL_S)
