Turn to the second hub also when the store has told nothing for long

What callers would see: a daemon that has lost both the store and its hub keeps its old configuration and servers although its second hub knows the current ones.

Cause: the time until which a hub must confirm counts from the last confirmation, so it was over before the connection was made.

Change: while the store does not respond to the daemon itself, a hub gets the full time. The log says 'no confirmation in time' where it said 'timed out'.

Evidence: test_daemon_without_the_store_takes_changes_from_the_second_hub failed before.

--- a/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
@@ -28,6 +28,7 @@
 CONNECT_TIMEOUT_S = 0.6
 # Interval between requests for a confirmation.
 POLL_INTERVAL_S = 0.25
+TOO_OLD = "no confirmation in time"
 
 
 class FeedLostError(Exception):
@@ -95,6 +96,8 @@
     async def _connect(self, hub: Peer, after: int, until_s: float) -> None:
         self.close()
         timeout_s = min(CONNECT_TIMEOUT_S, until_s - self._clock.monotonic())
+        if timeout_s <= 0:
+            raise TimeoutError(TOO_OLD)
         self._channel = await open_channel(hub.host, hub.port, timeout_s)
         self._hub, self._reader = hub, FrameReader(self._channel)
         self._channel.write(encode_frame(Follow(self._own_name, after)))
@@ -113,4 +116,4 @@
                     return await self._reader.next()
             except TimeoutError:
                 continue
-        raise TimeoutError("knowledge of the hub is too old")
+        raise TimeoutError(TOO_OLD)
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -172,8 +172,12 @@
         assert self._as_of is not None
         session = self._session
         max_age_s = session.settings.max_store_age.total_seconds()
+        until_s = session.current_until_s + max_age_s
+        if self._store_unavailable:
+            # The hub may know more than the store tells this daemon.
+            until_s = max(until_s, session.now_s + max_age_s)
         try:
-            update = await self._feed.next(hub, self._as_of, session.current_until_s + max_age_s)
+            update = await self._feed.next(hub, self._as_of, until_s)
         except FeedLostError as error:
             self._on_feed_lost(error)
             return
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -176,6 +176,30 @@
     run_in_virtual_time(run())
 
 
+# Guards against a daemon that has lost both the store and its hub, and does not turn to the second
+# hub as its own knowledge is already too old.
+def test_daemon_without_the_store_takes_changes_from_the_second_hub(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        first = site.add("first")
+        site.add("second")
+        await asyncio.sleep(0.5)
+        daemon = site.add("daemon", ["first", "second"])
+        await asyncio.sleep(5.0)
+        first.link.silent = daemon.link.silent = True
+        await asyncio.sleep(5.0)
+        for version in range(2, 7):
+            site.configure(version)
+            await asyncio.sleep(2.0)
+        assert daemon.version == 6
+        await site.stop()
+
+    run_in_virtual_time(run())
+
+
 # Guards against a store connection that goes silent while a daemon delays its next watch: the
 # delay and the time until the silence is noticed add up.
 def test_configuration_is_in_force_soon_after_a_store_connection_went_silent(
