Give test daemons ports that no connection can take

Cause: the harness of platform/tests took a free ephemeral port and closed it; an outgoing connection of another process could take it before the daemon bound it.

Change: one copy of free_ports, in libs/standins, for both.

--- a/libs/soak/src/fuchsiawell/soak/daemons.py
+++ b/libs/soak/src/fuchsiawell/soak/daemons.py
@@ -3,58 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
 import signal
-import socket
 import sys
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from fuchsiawell.adapter.settings_file import SETTINGS_PATH_VARIABLE
+from fuchsiawell.standins import free_ports
 
 from standins.documents import DaemonPorts, settings_document
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["PROGRAM", "Daemon", "free_ports"]
+__all__ = ["PROGRAM", "Daemon"]
 
 READY_TIMEOUT_S = 30.0
-# Port range for daemons. The first port tried depends on the process id, so that soaks on one
-# machine do not collide.
-FIRST_PORT, PORT_COUNT = 12_000, 20_000
 # Arguments of the interpreter that start a daemon.
 PROGRAM = ("-m", "fuchsiawell.adapter")
 
 
-_candidate_ports = itertools.chain(
-    range(FIRST_PORT + os.getpid() * 400 % PORT_COUNT, FIRST_PORT + PORT_COUNT),
-    range(FIRST_PORT, FIRST_PORT + PORT_COUNT),
-)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return unused ports, none of them returned before; raises RuntimeError if none are left.
-
-    They are below the kernel's ephemeral ports: otherwise an outgoing connection could take the
-    port of a daemon while the daemon restarts.
-    """
-    ports: list[int] = []
-    for port in _candidate_ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise RuntimeError(
-        f"fewer than {count} unused ports left of {FIRST_PORT} to {FIRST_PORT + PORT_COUNT - 1}"
-    )
-
-
 class Daemon:
     """One daemon with its settings file and log; its process may be restarted."""
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -8,10 +8,10 @@
 import uvicorn
 
 from fuchsiawell.core import SystemClock
-from fuchsiawell.soak.daemons import PROGRAM, Daemon, free_ports
+from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.invariants import InvariantChecker
 from fuchsiawell.soak.proxy import Proxy
-from fuchsiawell.standins import MemoryStore
+from fuchsiawell.standins import MemoryStore, free_ports
 
 from standins.backend_server import BackendServer
 from standins.documents import configuration_document
--- a/libs/standins/src/fuchsiawell/standins/__init__.py
+++ b/libs/standins/src/fuchsiawell/standins/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fuchsiawell.standins.memory_store import MemoryStore
+from fuchsiawell.standins.ports import free_ports
 from fuchsiawell.standins.virtual_time import (
     MemoryNetwork,
     VirtualClock,
@@ -10,4 +11,11 @@
     run_in_virtual_time,
 )
 
-__all__ = ["MemoryNetwork", "MemoryStore", "VirtualClock", "host_pair", "run_in_virtual_time"]
+__all__ = [
+    "MemoryNetwork",
+    "MemoryStore",
+    "VirtualClock",
+    "free_ports",
+    "host_pair",
+    "run_in_virtual_time",
+]
