Close the change feed while a daemon watches the store itself

What was wrong: a follower that became a hub or the granter kept its connection to its hub and read nothing from it; the hub went on sending to it, up to the full buffers, and watched the store each 0.4 s for it. No caller saw it; found by reading the change.

Evidence: test_daemon_that_watches_the_store_itself_leaves_its_hub failed before.

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -88,6 +88,7 @@
                 if self._as_of is None:
                     await self._list()
                 if (hub := self._current_hub()) is None:
+                    self._feed.close()
                     await self._watch_store()
                 else:
                     await self._follow(hub)
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -96,7 +96,10 @@
 
     @abstractmethod
     async def watch(self, prefix: str, after: int, wait: timedelta) -> StoreChanges:
-        """Return the next changes after a revision, none after `wait`; raises HistoryLostError."""
+        """Return the next changes after a revision, none after `wait`; raises HistoryLostError.
+
+        Without a response it fails soon after `wait`, in less than 1 s.
+        """
 
     @abstractmethod
     async def write(self, writes: Sequence[Write], remove: Sequence[str] = ()) -> int:
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -176,6 +176,27 @@
     run_in_virtual_time(run())
 
 
+# Guards against a hub that goes on serving a daemon which has become a hub itself and reads nothing
+# from it any more.
+def test_daemon_that_watches_the_store_itself_leaves_its_hub(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        first = site.add("first")
+        await asyncio.sleep(0.5)
+        site.add("second", ["first", None])
+        await asyncio.sleep(0.5)
+        assert first.relay.has_followers
+        site.add("follower", ["second", None])
+        await asyncio.sleep(1.0)
+        assert not first.relay.has_followers
+        await site.stop()
+
+    run_in_virtual_time(run())
+
+
 # Guards against a daemon that has lost both the store and its hub, and does not turn to the second
 # hub as its own knowledge is already too old.
 def test_daemon_without_the_store_takes_changes_from_the_second_hub(
