Count all idle time before a watch as part of its interval

What callers may see: a daemon that acts on old data for up to 3.3 s after its store connection went silent; it counts as undisturbed after 3.0 s.

Cause: only the delay after changes was taken off the wait of the next watch, not the time for which a hub had brought the changes.

Change: the wait is what is left of 1.6 s since the last watch ended; a connection idle for 1 s is not used again (1.5 s before).

Why it works: idle time below 1 s, wait and margin together are 2.3 s at most.

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -26,8 +26,8 @@
 
 __all__ = ["StoreWatcher"]
 
-# Time from the end of one watch without changes to the end of the next, including the delay before
-# it. A store connection that stops responding is noticed this time and WATCH_MARGIN_S later, which
+# Time from the end of one watch to the end of the next without changes, including the time between
+# the two, in which the connection may have gone silent already. A store connection that stops responding is noticed this time and WATCH_MARGIN_S later, which
 # must be below the 3 s after which a host counts as undisturbed again.
 WATCH_INTERVAL_S = 1.6
 # The same while other daemons depend on this one's knowledge: a part of the time for which they
@@ -60,8 +60,8 @@
         self._store = store
         self._records = records
         self._as_of: int | None = None
-        # Delay since the last watch, part of the interval of the next.
-        self._rewatch_delay_s = 0.0
+        # Monotonic time of the end of the last watch.
+        self._watched_s = float("-inf")
         # Revision of each key that was applied last.
         self._revision_by_key: dict[str, int] = {}
         self._store_unavailable = False
@@ -148,13 +148,12 @@
             waited_s = wait.total_seconds()
             waited = not changes.items and session.now_s >= started_s + waited_s
             self._relay.confirm(started_s + (waited_s if waited else 0.0))
-        self._rewatch_delay_s = 0.0
+        self._watched_s = session.now_s
         if changes.items:
             if self._relay is not None and self._relay.has_followers:
-                self._rewatch_delay_s = RELAY_REWATCH_DELAY_S
+                await asyncio.sleep(RELAY_REWATCH_DELAY_S)
             else:
-                self._rewatch_delay_s = REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S
-            await asyncio.sleep(self._rewatch_delay_s)
+                await asyncio.sleep(REWATCH_DELAY_S if any_new else KNOWN_REWATCH_DELAY_S)
 
     async def _watch(self, after: int, wait: timedelta) -> StoreChanges | None:
         """Return the changes; None if a first follower joined, for which the wait is too long."""
@@ -206,7 +205,8 @@
             interval_s = OUTAGE_WATCH_INTERVAL_S
         elif self._relay is not None and self._relay.has_followers:
             interval_s = RELAY_WATCH_INTERVAL_S
-        return timedelta(seconds=max(0.0, interval_s - self._rewatch_delay_s))
+        idle_s = self._session.now_s - self._watched_s
+        return timedelta(seconds=max(0.0, interval_s - idle_s))
 
     def _current_hub(self) -> Peer | None:
         """Return the hub to receive changes from; None to watch the store.
--- a/libs/gateway/tests/store_site.py
+++ b/libs/gateway/tests/store_site.py
@@ -26,7 +26,7 @@
 # How long after its wait a watch without a response fails, as in the platform's adapter.
 WATCH_MARGIN_S = 0.7
 # A connection is used again within this time, as in the platform's adapter.
-MAX_IDLE_S = 1.5
+MAX_IDLE_S = 1.0
 
 
 class StoreLink(Store):
