Limit the time that a daemon without the store gives a stale hub

What callers may see: a daemon without the store that follows a hub which is stale itself never tries the store again, and keeps its old configuration for as long as the hub lives.

Cause: the time for the first confirmation began anew with each frame of the hub, also with a confirmation that was too old.

Change: the time counts from the moment at which the daemon turned to the hub, and is 0.5 s, so that with the time until a silent store connection is noticed it stays below 3 s.

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -27,8 +27,9 @@
 __all__ = ["StoreWatcher"]
 
 # Time from the end of one watch to the end of the next without changes, including the time between
-# the two, in which the connection may have gone silent already. A store connection that stops responding is noticed this time and WATCH_MARGIN_S later, which
-# must be below the 3 s after which a host counts as undisturbed again.
+# the two, in which the connection may have gone silent already. A store connection that stops
+# responding is noticed this time and WATCH_MARGIN_S later, which must be below the 3 s after which
+# a host counts as undisturbed again.
 WATCH_INTERVAL_S = 1.6
 # The same while other daemons depend on this one's knowledge: a part of the time for which they
 # may go on without a confirmation.
@@ -46,6 +47,9 @@
 # How long a daemon watches the store itself after its hub failed: hubs that lost the store have
 # detected it by then.
 DIRECT_WATCH_S = 3.0
+# A daemon to which the store does not respond gives a hub this time for the first confirmation: the
+# time until a silent store connection is noticed and this must be below 3 s together.
+FIRST_CONFIRMATION_S = 0.5
 # Source of changes that came from the store itself, in logs.
 STORE_SOURCE = "store"
 # Bounds of the back-off after a failed call to the store.
@@ -69,6 +73,8 @@
         self._relay: ChangeRelay | None = None
         self._feed = ChangeFeed(session.settings.daemon, session.clock)
         self._direct_watch_until_s = 0.0
+        # Monotonic time from which this daemon follows a hub; None while it watches the store.
+        self._follows_since_s: float | None = None
         # For logs: where the changes being applied came from, the store or the name of a hub, and
         # the time until then since the last contact.
         self._source, self._unconfirmed_s = STORE_SOURCE, 0.0
@@ -89,6 +95,7 @@
                     await self._list()
                 if (hub := self._current_hub()) is None:
                     self._feed.close()
+                    self._follows_since_s = None
                     await self._watch_store()
                 else:
                     await self._follow(hub)
@@ -171,11 +178,13 @@
     async def _follow(self, hub: Peer) -> None:
         assert self._as_of is not None
         session = self._session
+        if self._follows_since_s is None:
+            self._follows_since_s = session.now_s
         max_age_s = session.settings.max_store_age.total_seconds()
         until_s = session.current_until_s + max_age_s
         if self._store_unavailable:
             # The hub may know more than the store tells this daemon.
-            until_s = max(until_s, session.now_s + max_age_s)
+            until_s = max(until_s, self._follows_since_s + FIRST_CONFIRMATION_S)
         try:
             update = await self._feed.next(hub, self._as_of, until_s)
         except FeedLostError as error:
@@ -226,6 +235,7 @@
             "news feed lost", step=error.step, peer=error.peer, reason=error.reason
         )
         self._direct_watch_until_s = self._session.now_s + DIRECT_WATCH_S
+        self._follows_since_s = None
         self._hubs.fail_over("change feed lost")
 
     def _on_store_contact(self, source: str, current_until_s: float) -> None:
