--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -11,6 +11,7 @@
 import pytest
 from store_site import StoreSite
 
+from fuchsiawell.gateway.control.change_frames import KeepAlive, encode_frame
 from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
 from fuchsiawell.shards import ShardMap, encode_map
 from fuchsiawell.standins import host_pair, run_in_virtual_time
@@ -20,6 +21,8 @@
 
     from store_site import SiteDaemon
 
+    from fuchsiawell.httpio import Channel
+
 # `config_apply` of the deployment of issue 19, and the shortest that the pages name.
 CONFIGURATION_BOUND_S = 2.5
 SHORTEST_BOUND_S = 2.0
@@ -176,6 +179,38 @@
     run_in_virtual_time(run())
 
 
+# Guards against trust in a hub of an earlier release during an upgrade: it sends keep-alives and
+# never says how old its knowledge is.
+def test_follower_of_a_hub_that_confirms_nothing_takes_a_configuration_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def send_keep_alives(channel: Channel) -> None:
+        while not channel.at_eof:
+            await channel.send(encode_frame(KeepAlive()))
+            await asyncio.sleep(0.5)
+
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        tasks: list[asyncio.Task[None]] = []
+        site.network.listen(
+            "old-hub", lambda channel: tasks.append(asyncio.create_task(send_keep_alives(channel)))
+        )
+        follower = site.add("follower", ["old-hub"])
+        for version in range(2, 20):
+            await asyncio.sleep(1.3)
+            acknowledged_s = site.configure(version)
+            age_s = await site.age_until(
+                lambda due=version: follower.version == due, acknowledged_s
+            )
+            assert age_s <= SHORTEST_BOUND_S
+        await site.stop()
+        for task in tasks:
+            task.cancel()
+
+    run_in_virtual_time(run())
+
+
 # Guards against a hub that goes on serving a daemon which has become a hub itself and reads nothing
 # from it any more.
 def test_daemon_that_watches_the_store_itself_leaves_its_hub(
