--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -9,20 +9,21 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from store_site import StoreSite
 
 from fuchsiawell.gateway.control.change_frames import KeepAlive, encode_frame
 from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
 from fuchsiawell.shards import ShardMap, encode_map
 from fuchsiawell.standins import host_pair, run_in_virtual_time
 
+from store_site import StoreSite
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from store_site import SiteDaemon
-
     from fuchsiawell.httpio import Channel
 
+    from store_site import SiteDaemon
+
 # `config_apply` of the deployment of issue 19, and the shortest that the pages name.
 CONFIGURATION_BOUND_S = 2.5
 SHORTEST_BOUND_S = 2.0
--- a/libs/gateway/tests/test_store_freshness_random.py
+++ b/libs/gateway/tests/test_store_freshness_random.py
@@ -11,10 +11,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from store_site import StoreSite
 
 from fuchsiawell.standins import host_pair, run_in_virtual_time
 
+from store_site import StoreSite
+
 if TYPE_CHECKING:
     from store_site import SiteDaemon
 
