--- a/libs/gateway/tests/store_site.py
+++ b/libs/gateway/tests/store_site.py
@@ -10,7 +10,7 @@
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.ports import Store, StoreChanges, StoreUnavailableError, Write
 from fuchsiawell.gateway.session.state import Peer
-from fuchsiawell.standins import MemoryNetwork, MemoryStore, VirtualClock
+from fuchsiawell.standins import MemoryNetwork, MemoryStore, VirtualClock, run_in_virtual_time
 
 from builders import FakeRecordDecoder, session
 
@@ -20,7 +20,7 @@
 
     from fuchsiawell.core import Clock
 
-__all__ = ["SiteDaemon", "StoreLink", "StoreSite"]
+__all__ = ["SiteDaemon", "StoreLink", "StoreSite", "run_site"]
 
 CALL_TIMEOUT_S, CONNECT_TIMEOUT_S = 0.9, 0.6
 # How long after its wait a watch without a response fails, as in the platform's adapter.
@@ -147,7 +147,6 @@
         self.store = MemoryStore(self.clock)
         self.network = MemoryNetwork()
         self.daemons: list[SiteDaemon] = []
-        self._connecting: str = ""
         monkeypatch.setattr(
             "fuchsiawell.gateway.control.change_feed.open_channel", self._open_channel
         )
@@ -175,6 +174,11 @@
         await self.wait_until(condition)
         return self.clock.monotonic() - since_s
 
+    async def age_of_change(self, daemon: SiteDaemon, version: int) -> float:
+        """Write a version; return the time from its acknowledgement until a daemon has it."""
+        acknowledged_s = self.configure(version)
+        return await self.age_until(lambda: daemon.version == version, acknowledged_s)
+
     async def stop(self) -> None:
         """End all daemons."""
         tasks = [daemon.task for daemon in self.daemons if daemon.task is not None]
@@ -189,3 +193,17 @@
         task = asyncio.current_task()
         client = next((d.name for d in self.daemons if d.task is task), "")
         return await self.network.open(client, host, timeout_s)
+
+
+def run_site(monkeypatch: Any, scenario: Callable[[StoreSite], Awaitable[None]]) -> None:
+    """Run a scenario in virtual time, at a site with version 1 of the configuration."""
+
+    async def run() -> None:
+        site = StoreSite(monkeypatch)
+        site.configure(1)
+        try:
+            await scenario(site)
+        finally:
+            await site.stop()
+
+    run_in_virtual_time(run())
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -13,9 +13,9 @@
 from fuchsiawell.gateway.control.change_frames import KeepAlive, encode_frame
 from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
 from fuchsiawell.shards import ShardMap, encode_map
-from fuchsiawell.standins import host_pair, run_in_virtual_time
+from fuchsiawell.standins import host_pair
 
-from store_site import StoreSite
+from store_site import StoreSite, run_site
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,24 +39,19 @@
 def test_follower_of_a_hub_with_a_silent_store_link_takes_a_configuration_in_time(
     change_delay_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         hub = site.add("hub")
         await asyncio.sleep(0.5)
         follower = site.add("follower", ["hub", None])
-        await site.age_until(lambda: follower.version == 1, 0.0)
+        await site.wait_until(lambda: follower.version == 1)
         # Just after the hub's watch has begun.
         watches = hub.link.watches
-        await site.age_until(lambda: hub.link.watches > watches, 0.0)
+        await site.wait_until(lambda: hub.link.watches > watches)
         hub.link.silent = True
         await asyncio.sleep(change_delay_s)
-        acknowledged_s = site.configure(2)
-        age_s = await site.age_until(lambda: follower.version == 2, acknowledged_s)
-        await site.stop()
-        assert age_s <= CONFIGURATION_BOUND_S
+        assert await site.age_of_change(follower, 2) <= CONFIGURATION_BOUND_S
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 def _lose_store_link(site: StoreSite, hub: SiteDaemon) -> None:
@@ -98,21 +93,16 @@
     change_delay_s: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         hub = site.add("hub")
         await asyncio.sleep(0.5)
         follower = site.add("follower", ["hub", None])
         await asyncio.sleep(5.0)
         fault(site, hub)
         await asyncio.sleep(change_delay_s)
-        acknowledged_s = site.configure(2)
-        age_s = await site.age_until(lambda: follower.version == 2, acknowledged_s)
-        await site.stop()
-        assert age_s <= SHORTEST_BOUND_S
+        assert await site.age_of_change(follower, 2) <= SHORTEST_BOUND_S
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize("change_delay_s", CHANGE_DELAYS_S)
@@ -121,9 +111,7 @@
 def test_follower_of_a_second_hub_takes_a_configuration_although_the_first_lost_the_store(
     change_delay_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         first = site.add("first")
         await asyncio.sleep(0.5)
         site.add("second", ["first", None])
@@ -132,12 +120,9 @@
         await asyncio.sleep(5.0)
         first.link.silent = True
         await asyncio.sleep(change_delay_s)
-        acknowledged_s = site.configure(2)
-        age_s = await site.age_until(lambda: follower.version == 2, acknowledged_s)
-        await site.stop()
-        assert age_s <= SHORTEST_BOUND_S
+        assert await site.age_of_change(follower, 2) <= SHORTEST_BOUND_S
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize("quiet_s", [0.1, 0.5, 0.9, 1.3, 1.7, 2.1])
@@ -146,25 +131,20 @@
 def test_follower_stays_at_a_hub_that_was_watching_before(
     quiet_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         site.add("hub")
         await asyncio.sleep(quiet_s)
         follower = site.add("follower", ["hub", None])
         await asyncio.sleep(10.0)
-        await site.stop()
         assert (follower.hubs.failovers, follower.link.watches) == (0, 0)
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 # Guards against false alarms: a hub without trouble must not lose its followers, or all daemons
 # watch the store.
 def test_followers_stay_at_a_hub_without_trouble(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         site.add("hub")
         await asyncio.sleep(0.5)
         followers = [site.add(f"follower-{number}", ["hub", None]) for number in range(3)]
@@ -172,12 +152,11 @@
             await asyncio.sleep(site.random.uniform(0.0, 1.5))
             site.configure(version)
         await asyncio.sleep(2.0)
-        await site.stop()
         assert [daemon.hubs.failovers for daemon in followers] == [0, 0, 0]
         assert [daemon.link.watches for daemon in followers] == [0, 0, 0]
         assert [daemon.version for daemon in followers] == [39, 39, 39]
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 # Guards against trust in a hub of an earlier release during an upgrade: it sends keep-alives and
@@ -190,9 +169,7 @@
             await channel.send(encode_frame(KeepAlive()))
             await asyncio.sleep(0.5)
 
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         tasks: list[asyncio.Task[None]] = []
         site.network.listen(
             "old-hub", lambda channel: tasks.append(asyncio.create_task(send_keep_alives(channel)))
@@ -205,11 +182,10 @@
                 lambda due=version: follower.version == due, acknowledged_s
             )
             assert age_s <= SHORTEST_BOUND_S
-        await site.stop()
         for task in tasks:
             task.cancel()
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 # Guards against a hub that goes on serving a daemon which has become a hub itself and reads nothing
@@ -217,9 +193,7 @@
 def test_daemon_that_watches_the_store_itself_leaves_its_hub(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         first = site.add("first")
         await asyncio.sleep(0.5)
         site.add("second", ["first", None])
@@ -228,9 +202,8 @@
         site.add("follower", ["second", None])
         await asyncio.sleep(1.0)
         assert not first.relay.has_followers
-        await site.stop()
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 # Guards against a daemon that has lost both the store and its hub, and does not turn to the second
@@ -238,9 +211,7 @@
 def test_daemon_without_the_store_takes_changes_from_the_second_hub(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         first = site.add("first")
         site.add("second")
         await asyncio.sleep(0.5)
@@ -252,9 +223,8 @@
             site.configure(version)
             await asyncio.sleep(2.0)
         assert daemon.version == 6
-        await site.stop()
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 # Guards against a store connection that goes silent while a daemon delays its next watch: the
@@ -262,9 +232,7 @@
 def test_configuration_is_in_force_soon_after_a_store_connection_went_silent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         daemon = site.add("daemon")
         await asyncio.sleep(0.5)
         known_map = ShardMap("s", 1, "d-9", 5, ())
@@ -276,9 +244,8 @@
         broken_s = site.clock.monotonic()
         site.configure(2)
         assert await site.age_until(lambda: daemon.version == 2, broken_s) <= CONTACT_S
-        await site.stop()
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize("outage_s", [0.1, 0.5, 1.1, 1.7, 2.3, 3.1, 4.0, 7.7])
@@ -288,9 +255,7 @@
 def test_configuration_is_in_force_once_a_store_outage_has_been_over_for_contact(
     hubs: list[str | None], outage_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
-        site.configure(1)
+    async def scenario(site: StoreSite) -> None:
         site.add("hub")
         await asyncio.sleep(0.5)
         daemon = site.add("daemon", hubs)
@@ -305,9 +270,8 @@
             other.link.break_connection()
         over_s = site.clock.monotonic()
         assert await site.age_until(lambda: daemon.version == 2, over_s) <= CONTACT_S
-        await site.stop()
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize("cut_s", [10.0 + 0.07 * step for step in range(16)])
@@ -317,8 +281,7 @@
 def test_servers_that_left_during_a_cut_get_nothing_once_the_daemon_counts_as_undisturbed(
     cut_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def run() -> None:
-        site = StoreSite(monkeypatch)
+    async def scenario(site: StoreSite) -> None:
         for number in range(8):
             site.store.put(f"servers/i-{number}", b"good")
         daemon = site.add("daemon")
@@ -338,7 +301,6 @@
             await asyncio.sleep(0.1)
             daemon.watcher.expire_backends()
         used = {backend.id for backend in daemon.session.directory.preferred("s")}
-        await site.stop()
         assert used == {f"i-{number}" for number in range(3, 8)}
 
-    run_in_virtual_time(run())
+    run_site(monkeypatch, scenario)
