--- a/libs/gateway/tests/test_change_feed.py
+++ b/libs/gateway/tests/test_change_feed.py
@@ -114,6 +114,17 @@
     assert await _feed().next(hub.peer, 6, LATER_S) == FeedUpdate(_changes(7))
 
 
+# Guards against a follower on a slow link that falls behind in a storm of large configurations: its
+# hub sends it each version, also those that a newer one has replaced (CONFIG, scale-1 of
+# koro-feedline-grown).
+async def test_follower_that_is_behind_gets_only_the_newest_version_of_a_key(hub: Hub) -> None:
+    hub.relay.reset(5)
+    for revision in range(6, 10):
+        hub.relay.publish(_changes(revision))
+    update = await _feed().next(hub.peer, 5, LATER_S)
+    assert [item.revision for item in update.changes.items] == [9]
+
+
 @pytest.mark.parametrize("case", ["too old", "store lost", "never listed"])
 async def test_hub_without_all_requested_changes_reports_a_gap(hub: Hub, case: str) -> None:
     if case != "never listed":
