Log the limits that servers name, and count requests by server

The adapter decodes the field Server-Limit (the lowest of several that can be read; anything but a decimal number is reported as unreadable), RateLimits keeps it by server and incarnation, 'server limit' logs each change, and the counters server_requests and limits_named count by server. No request is placed differently yet.

--- a/libs/balance/src/fuchsiawell/balance/__init__.py
+++ b/libs/balance/src/fuchsiawell/balance/__init__.py
@@ -14,6 +14,7 @@
 from fuchsiawell.balance.latency_estimates import LatencyEstimates
 from fuchsiawell.balance.outlier_detection import OutlierDetector
 from fuchsiawell.balance.poison_requests import PoisonRequestDetector
+from fuchsiawell.balance.rate_limits import RateLimit, RateLimits
 from fuchsiawell.balance.retry_budget import RetryBudget, RetryRules
 
 __all__ = [
@@ -27,6 +28,8 @@
     "OutlierDetector",
     "PoisonRequestDetector",
     "QueuedRequest",
+    "RateLimit",
+    "RateLimits",
     "RetryBudget",
     "RetryRules",
     "expected_latency_s",
--- /dev/null
+++ b/libs/balance/src/fuchsiawell/balance/rate_limits.py
@@ -0,0 +1,89 @@
+"""Rate limits that backend servers name for all daemons together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["RateLimit", "RateLimits"]
+
+
+@dataclass(frozen=True)
+class RateLimit:
+    """What one incarnation of a server last said of its limit."""
+
+    incarnation_id: str
+    # Requests per second from all daemons; None: the server no longer names a limit.
+    rate_per_s: float | None
+    # When a daemon got the response that says so, in monotonic seconds of this daemon.
+    named_s: float
+
+
+class RateLimits:
+    """The limits known to this daemon, by server; those that have ended are kept for their time."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, RateLimit] = {}
+
+    def rate_per_s(self, backend_id: str, incarnation_id: str) -> float | None:
+        """Return the limit of a server incarnation, None if it has none."""
+        known = self._by_id.get(backend_id)
+        if known is None or known.incarnation_id != incarnation_id:
+            return None
+        return known.rate_per_s
+
+    def latest(self, backend_id: str) -> RateLimit | None:
+        """Return what is known of a server, None if it never named a limit."""
+        return self._by_id.get(backend_id)
+
+    def record_named(
+        self, backend_id: str, incarnation_id: str, rate_per_s: float, sent_s: float, now_s: float
+    ) -> bool:
+        """Record a response that names a limit, to a request sent at `sent_s`; whether it changed.
+
+        Responses may overtake each other: a limit that was raised while the request was in flight
+        is taken from the next response.
+        """
+        known = self._by_id.get(backend_id)
+        if known is not None and known.incarnation_id == incarnation_id:
+            lower = known.rate_per_s is None or rate_per_s <= known.rate_per_s
+            if sent_s < known.named_s and not lower:
+                return False
+        self._by_id[backend_id] = RateLimit(incarnation_id, rate_per_s, now_s)
+        return (
+            known is None
+            or known.incarnation_id != incarnation_id
+            or known.rate_per_s != rate_per_s
+        )
+
+    def record_ended(
+        self, backend_id: str, incarnation_id: str, sent_s: float, now_s: float
+    ) -> bool:
+        """Record a response without a limit, to a request sent at `sent_s`; whether one ended.
+
+        A response to a request sent before the limit was known may have been written before the
+        limit began.
+        """
+        known = self._by_id.get(backend_id)
+        if (
+            known is None
+            or known.incarnation_id != incarnation_id
+            or known.rate_per_s is None
+            or sent_s < known.named_s
+        ):
+            return False
+        self._by_id[backend_id] = RateLimit(incarnation_id, None, now_s)
+        return True
+
+    def apply_report(self, backend_id: str, limit: RateLimit) -> bool:
+        """Apply what another daemon knows of a server; return whether the limit changed."""
+        known = self._by_id.get(backend_id)
+        if known is not None and known.named_s >= limit.named_s:
+            return False
+        self._by_id[backend_id] = limit
+        before = None if known is None else known.rate_per_s
+        same_incarnation = known is not None and known.incarnation_id == limit.incarnation_id
+        return before != limit.rate_per_s or not same_incarnation
+
+    def forget(self, backend_id: str) -> None:
+        """Discard what is known of a server that was removed or has restarted."""
+        self._by_id.pop(backend_id, None)
--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -20,6 +20,7 @@
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
 from fuchsiawell.gateway.execute.forwarder import Forwarder
 from fuchsiawell.gateway.execute.frontend import FINAL_RESPONSE_TIMEOUT_S, Frontend
+from fuchsiawell.gateway.execute.limit_tracker import LimitTracker
 from fuchsiawell.gateway.execute.placement import Placement
 from fuchsiawell.gateway.operators.page_server import PageServer
 from fuchsiawell.httpio import Channel
@@ -78,7 +79,7 @@
         forwarder = Forwarder(
             session,
             protocol,
-            BackendClient(self._pool, protocol, session.clock),
+            BackendClient(self._pool, protocol, session.clock, LimitTracker(session)),
             Placement(session),
             self._peers,
         )
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -21,6 +21,7 @@
     from fuchsiawell.core import Clock
     from fuchsiawell.gateway.execute.body import RequestBody
     from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
+    from fuchsiawell.gateway.execute.limit_tracker import LimitTracker
     from fuchsiawell.gateway.ports import BackendProtocol, ResponseMetadata
 
 __all__ = ["BackendClient", "Target"]
@@ -52,10 +53,17 @@
 class BackendClient:
     """Send requests over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, protocol: BackendProtocol, clock: Clock) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        protocol: BackendProtocol,
+        clock: Clock,
+        limit_tracker: LimitTracker,
+    ) -> None:
         self._pool = pool
         self._protocol = protocol
         self._clock = clock
+        self._limit_tracker = limit_tracker
 
     async def send(
         self,
@@ -121,6 +129,7 @@
         self, target: Target, connection: ClientConnection, exchange: Exchange, request_id: str
     ) -> Outcome:
         received: list[ResponseMetadata] = []
+        sent_s = self._clock.monotonic()
 
         def matches_request(head: ResponseHead) -> bool:
             received[:] = [self._protocol.parse_response(head)]
@@ -130,6 +139,9 @@
         metadata = received[0]
         if metadata.request_id is None and connection.exchange_count > 1:
             raise InvalidResponseError("response without a request id on a reused connection")
+        self._limit_tracker.record_response(
+            target.backend_id, target.incarnation_id, metadata, sent_s
+        )
         buffered = bytearray()
         while len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES or head.close_delimited:
             chunk = await exchange.read_body_chunk()
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -250,6 +250,7 @@
         queueing_factor = max(1.0, in_flight / slots)
         service_time_s = session.latency_estimates.service_time_s(request.route.name)
         latency_factor = session.latency_estimates.latency_factor(target.backend_id, started_s)
+        session.metrics.count("server_requests", target.backend_id)
         self._last_attempt_id += 1
         attempt_id = self._last_attempt_id
         session.in_flight[attempt_id] = InFlightRequest(
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -169,6 +169,10 @@
     misdirected: bool
     # Id of the responding server; None when the field is missing.
     server_id: str | None = None
+    # Requests per second that the server takes from all daemons together; None: it names no limit.
+    rate_limit_per_s: float | None = None
+    # A limit that cannot be read; None when there is none.
+    invalid_rate_limit: str | None = None
 
 
 @dataclass(frozen=True)
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -12,6 +12,7 @@
     LatencyEstimates,
     OutlierDetector,
     PoisonRequestDetector,
+    RateLimits,
     RetryBudget,
     free_capacity,
 )
@@ -108,6 +109,7 @@
         self.latency_estimates = LatencyEstimates()
         self.outlier_detector = OutlierDetector()
         self.in_flight_counts = InFlightCounts()
+        self.rate_limits = RateLimits()
         self.poison_detector = PoisonRequestDetector()
         self.traffic_splitter = TrafficSplitter(random)
         self.retry_budget = RetryBudget(settings.retries)
@@ -234,9 +236,10 @@
             self.log.event("backend missing", server=backend_id, why="store was in trouble")
 
     def discard_backend_history(self, backend_id: str) -> None:
-        """Discard latency and failure statistics of an earlier incarnation."""
+        """Discard latency, failures and rate limit of an earlier incarnation."""
         self.latency_estimates.forget(backend_id)
         self.outlier_detector.forget(backend_id)
+        self.rate_limits.forget(backend_id)
 
     def owner_accepts_requests(self, backend_id: str) -> bool:
         """Return whether an owner may get requests: it is ready, or has just begun to leave."""
