Keep the order of writes of one moment on connections in memory

No caller is affected: a test of limited servers in virtual time saw the start of a response behind its body ('illegal status line'), 10 times in 372 requests. Two writes of the same moment arrived at the same virtual time, and the loop runs timers of one time in any order (its heap is not stable). Now a write arrives 1 ns after the one before. The test fails without the change.

--- a/libs/standins/src/fuchsiawell/standins/virtual_time.py
+++ b/libs/standins/src/fuchsiawell/standins/virtual_time.py
@@ -15,6 +15,9 @@
 
 __all__ = ["MemoryNetwork", "VirtualClock", "host_pair", "run_in_virtual_time"]
 
+# Time between the arrivals of two writes on a connection.
+WRITE_GAP_S = 1e-9
+
 
 class _SkippingSelector(selectors.SelectSelector):
     """Never block: advance the time of the loop instead."""
@@ -60,10 +63,11 @@
     """Connections between channels of one process.
 
     Data and connects between two hosts are dropped while the pair is in `silent`, and delayed by
-    `delay_s`. The order of the data on a connection is kept.
+    `delay_s`, or by `default_delay_s`. The order of the data on a connection is kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, default_delay_s: float = 0.0) -> None:
+        self.default_delay_s = default_delay_s
         self.silent: set[frozenset[str]] = set()
         self.delay_s: dict[frozenset[str], float] = {}
         self._accept_by_host: dict[str, Callable[[Channel], None]] = {}
@@ -77,7 +81,7 @@
         async with asyncio.timeout(timeout_s):
             if host_pair(client, host) in self.silent:
                 await asyncio.Event().wait()
-            await asyncio.sleep(self.delay_s.get(host_pair(client, host), 0.0))
+            await asyncio.sleep(self.delay_between(host_pair(client, host)))
         accept = self._accept_by_host.get(host)
         if accept is None:
             raise ConnectionRefusedError(f"nothing listens at {host}")
@@ -88,6 +92,10 @@
         far.connection_made(far_end)
         return near
 
+    def delay_between(self, hosts: frozenset[str]) -> float:
+        """Return the one-way delay between two hosts, in seconds."""
+        return self.delay_s.get(hosts, self.default_delay_s)
+
 
 class _End(asyncio.Transport):
     """One end of a connection; writes go to the channel at the other end."""
@@ -143,9 +151,9 @@
         if self._hosts in self._network.silent:
             return
         loop = asyncio.get_running_loop()
-        delay_s = self._network.delay_s.get(self._hosts, 0.0)
-        # Never earlier than what was written before.
-        self._arrival_s = max(self._arrival_s, loop.time() + delay_s)
+        delay_s = self._network.delay_between(self._hosts)
+        # Later than what was written before: the loop runs timers of the same time in any order.
+        self._arrival_s = max(self._arrival_s + WRITE_GAP_S, loop.time() + delay_s)
         loop.call_at(self._arrival_s, callback, *arguments)
 
 
