--- a/libs/standins/src/fuchsiawell/standins/__init__.py
+++ b/libs/standins/src/fuchsiawell/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fuchsiawell.standins.memory_datagrams import MemoryDatagrams
 from fuchsiawell.standins.memory_store import MemoryStore
 from fuchsiawell.standins.ports import free_ports
 from fuchsiawell.standins.virtual_time import (
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "MemoryDatagrams",
     "MemoryNetwork",
     "MemoryStore",
     "VirtualClock",
