Send a server that names a limit no more than that, from all daemons together

The class is wider: what a server says to all daemons together cannot be kept by each alone. With one request of credit each, N daemons send N + 4 L in 4 s where 6 L + 5 are allowed (15.8 of 12.2 at 11 daemons and L = 1.2), and a share of L / N wastes nearly all of L at 1,700.

Change: a request to a limited server needs a permit of the server's issuer, a daemon found by rendezvous hashing. The issuer has a token bucket with the server's rate, which starts empty, and a queue by rank and time left. Who would wait too long is denied at once and told when to come back; the daemon remembers it, sends requests to a sibling or refuses them with that time. All requests pass there: first tries, retries, trials of suspected servers. A second issuer at 0.4 of the rate replaces one that is silent. Limits travel between daemons with their age; limit 0 counts as 0.2 a second, as only a response can end it; unreadable limits change nothing. The planner takes a limit as capacity, so that keys move off the owner.

Why it works: one issuer sends 4 L + 2 in 4 s, both 5.6 L + 3, plus what is in flight; allowed are 6 L + 5.

--- a/libs/balance/src/fuchsiawell/balance/__init__.py
+++ b/libs/balance/src/fuchsiawell/balance/__init__.py
@@ -13,12 +13,21 @@
 from fuchsiawell.balance.in_flight import InFlightCounts, short_id
 from fuchsiawell.balance.latency_estimates import LatencyEstimates
 from fuchsiawell.balance.outlier_detection import OutlierDetector
+from fuchsiawell.balance.permit_issuer import (
+    MIN_RATE_PER_S,
+    PermitDecision,
+    PermitIssuer,
+    PermitTicket,
+)
+from fuchsiawell.balance.permit_waits import PermitWaits
 from fuchsiawell.balance.poison_requests import PoisonRequestDetector
 from fuchsiawell.balance.rate_limits import RateLimit, RateLimits
+from fuchsiawell.balance.rendezvous import rendezvous_order
 from fuchsiawell.balance.retry_budget import RetryBudget, RetryRules
 
 __all__ = [
     "HUBS_PER_GROUP",
+    "MIN_RATE_PER_S",
     "AdmissionQueue",
     "BackendSelector",
     "Candidate",
@@ -26,6 +35,10 @@
     "InFlightCounts",
     "LatencyEstimates",
     "OutlierDetector",
+    "PermitDecision",
+    "PermitIssuer",
+    "PermitTicket",
+    "PermitWaits",
     "PoisonRequestDetector",
     "QueuedRequest",
     "RateLimit",
@@ -35,5 +48,6 @@
     "expected_latency_s",
     "free_capacity",
     "group_daemons",
+    "rendezvous_order",
     "short_id",
 ]
--- a/libs/balance/src/fuchsiawell/balance/rate_limits.py
+++ b/libs/balance/src/fuchsiawell/balance/rate_limits.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 __all__ = ["RateLimit", "RateLimits"]
 
@@ -35,6 +39,13 @@
         """Return what is known of a server, None if it never named a limit."""
         return self._by_id.get(backend_id)
 
+    @property
+    def limited_ids(self) -> set[str]:
+        """Return the ids of the servers that have a limit."""
+        return {
+            backend_id for backend_id, limit in self._by_id.items() if limit.rate_per_s is not None
+        }
+
     def record_named(
         self, backend_id: str, incarnation_id: str, rate_per_s: float, sent_s: float, now_s: float
     ) -> bool:
@@ -84,6 +95,14 @@
         same_incarnation = known is not None and known.incarnation_id == limit.incarnation_id
         return before != limit.rate_per_s or not same_incarnation
 
+    def retain(self, incarnation_ids: Collection[str]) -> None:
+        """Discard what is known of all other incarnations."""
+        self._by_id = {
+            backend_id: limit
+            for backend_id, limit in self._by_id.items()
+            if limit.incarnation_id in incarnation_ids
+        }
+
     def forget(self, backend_id: str) -> None:
-        """Discard what is known of a server that was removed or has restarted."""
+        """Discard what is known of a server that has restarted."""
         self._by_id.pop(backend_id, None)
--- a/libs/balance/tests/test_rate_limits.py
+++ b/libs/balance/tests/test_rate_limits.py
@@ -58,3 +58,11 @@
     known = limits()
     known.forget("i-1")
     assert known.rate_per_s("i-1", LIFE) is None
+
+
+def test_limits_of_removed_incarnations_are_discarded() -> None:
+    known = limits()
+    known.retain({LIFE})
+    assert known.limited_ids == {"i-1"}
+    known.retain({NEXT_LIFE})
+    assert known.limited_ids == set()
--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -20,8 +20,8 @@
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
 from fuchsiawell.gateway.execute.forwarder import Forwarder
 from fuchsiawell.gateway.execute.frontend import FINAL_RESPONSE_TIMEOUT_S, Frontend
-from fuchsiawell.gateway.execute.limit_tracker import LimitTracker
 from fuchsiawell.gateway.execute.placement import Placement
+from fuchsiawell.gateway.execute.rate_limiting import RateLimiting
 from fuchsiawell.gateway.operators.page_server import PageServer
 from fuchsiawell.httpio import Channel
 
@@ -76,11 +76,12 @@
         session.backend_selector.has_idle_connection = lambda b: self._pool.has_idle(
             f"{b.id}/{b.incarnation}"
         )
+        self._rate_limiting = RateLimiting(session, self._peers)
         forwarder = Forwarder(
             session,
             protocol,
-            BackendClient(self._pool, protocol, session.clock, LimitTracker(session)),
-            Placement(session),
+            BackendClient(self._pool, protocol, session.clock, self._rate_limiting.tracker),
+            Placement(session, self._rate_limiting.permits),
             self._peers,
         )
         self._frontend = Frontend(session, forwarder, protocol)
@@ -152,6 +153,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._membership.leave(max(0.0, stop_by_s + LEAVE_RESERVE_S - session.now_s))
         self._change_relay.close()
+        self._rate_limiting.close()
         self._pool.close()
         self._peers.close()
         self.finish_stopping()  # type: ignore[attr-defined]
@@ -163,6 +165,7 @@
         for task in self._tasks:
             task.cancel()
         self._change_relay.close()
+        self._rate_limiting.close()
         self._peers.close()
         self._pool.close()
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
@@ -44,7 +44,9 @@
             if rounds % ROUNDS_PER_CLEANUP == 0:
                 self._session.remove_stale_queues()
                 self._session.remove_expired_peers()
-                self._pools.evict_stale(self._current_incarnations())
+                incarnation_ids = self._current_incarnations()
+                self._pools.evict_stale(incarnation_ids)
+                self._session.rate_limits.retain(incarnation_ids)
 
     def _record_overdue(self) -> None:
         session = self._session
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 import msgpack
 
@@ -15,6 +17,10 @@
     "KeyCountReport",
     "LoadReport",
     "Message",
+    "PermitReply",
+    "PermitRequest",
+    "PermitStatus",
+    "RateLimitReport",
     "ShardMapUpdate",
     "SuspicionCleared",
     "TermReport",
@@ -96,6 +102,49 @@
     fingerprint: int
 
 
+@dataclass(frozen=True)
+class RateLimitReport:
+    """What a server incarnation said of its rate limit `age_ms` ago; None: it no longer has one."""
+
+    backend_id: str
+    incarnation_id: str
+    rate_per_s: float | None
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class PermitRequest:
+    """Request to the issuer of a rate-limited server for leave to send it one request."""
+
+    number: int
+    limit: RateLimitReport
+    priority: int
+    # How long the sender waits for a permit; a denial comes at once if that is too short.
+    max_wait_ms: int
+    # 0 for the first issuer of the server, 1 for the substitute that is asked when it is silent.
+    rank: int
+
+
+class PermitStatus(StrEnum):
+    """State of a request for a permit."""
+
+    GRANTED = "granted"
+    DENIED = "denied"
+    # A decision follows in time.
+    QUEUED = "queued"
+
+
+@dataclass(frozen=True)
+class PermitReply:
+    """Reply to a permit request, with the limit as the issuer knows it."""
+
+    number: int
+    status: PermitStatus
+    # Time after which another request may be granted, if this one was denied.
+    wait_ms: int
+    limit: RateLimitReport
+
+
 Message = (
     LoadReport
     | GroupLoadReport
@@ -106,6 +155,9 @@
     | ShardMapUpdate
     | CrashReport
     | SuspicionCleared
+    | RateLimitReport
+    | PermitRequest
+    | PermitReply
 )
 
 
@@ -135,6 +187,12 @@
             body = ["c", fingerprint, incarnation_id]
         case SuspicionCleared(fingerprint):
             body = ["o", fingerprint]
+        case RateLimitReport():
+            body = ["s", *_encode_limit(message)]
+        case PermitRequest(number, limit, priority, max_wait_ms, rank):
+            body = ["q", number, _encode_limit(limit), priority, max_wait_ms, rank]
+        case PermitReply(number, status, wait_ms, limit):
+            body = ["r", number, status.value, wait_ms, _encode_limit(limit)]
     return bytes(msgpack.packb([sender, lamport_time, *body]))
 
 
@@ -164,6 +222,13 @@
                 message = CrashReport(fingerprint, incarnation_id)
             case "o", [fingerprint]:
                 message = SuspicionCleared(fingerprint)
+            case "s", row:
+                message = _decode_limit(row)
+            case "q", [int(number), row, int(priority), int(max_wait_ms), int(rank)]:
+                limit = _decode_limit(row)
+                message = PermitRequest(number, limit, priority, max_wait_ms, rank)
+            case "r", [int(number), status, int(wait_ms), row]:
+                message = PermitReply(number, PermitStatus(status), wait_ms, _decode_limit(row))
             case _:
                 raise ValueError(f"message kind {kind!r} is unknown")
     except (msgpack.UnpackException, TypeError, ValueError) as error:
@@ -185,3 +250,15 @@
     assert isinstance(last, int)
     assert isinstance(fence, int)
     return Assignment(first, last, fence, Owner(*owner) if isinstance(owner, list) else None)
+
+
+def _encode_limit(limit: RateLimitReport) -> list[object]:
+    return [limit.backend_id, limit.incarnation_id, limit.rate_per_s, limit.age_ms]
+
+
+def _decode_limit(row: list[object]) -> RateLimitReport:
+    match row:
+        case [str(backend_id), str(incarnation_id), float() | None as rate_per_s, int(age_ms)]:
+            if rate_per_s is None or 0.0 <= rate_per_s < math.inf:
+                return RateLimitReport(backend_id, incarnation_id, rate_per_s, max(0, age_ms))
+    raise ValueError(f"rate limit {row!r} is malformed")
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -13,6 +13,9 @@
     KeyCountReport,
     LoadReport,
     Message,
+    PermitReply,
+    PermitRequest,
+    RateLimitReport,
     ShardMapUpdate,
     SuspicionCleared,
     TermReport,
@@ -42,6 +45,9 @@
         self.on_load_report: (
             Callable[[str, LoadReport | GroupLoadReport | TotalLoadReport], None] | None
         ) = None
+        self.on_limit_message: (
+            Callable[[str, RateLimitReport | PermitRequest | PermitReply], None] | None
+        ) = None
 
     async def open(self) -> None:
         """Listen for datagrams."""
@@ -139,6 +145,9 @@
                 session.poison_detector.record_crash(fingerprint, incarnation_id, session.now_s)
             case SuspicionCleared(fingerprint):
                 session.poison_detector.clear(fingerprint)
+            case RateLimitReport() | PermitRequest() | PermitReply():
+                if self.on_limit_message is not None:
+                    self.on_limit_message(sender, message)
 
     def _apply_terms(self, sender: str, terms: dict[str, int]) -> None:
         if terms and self.on_terms is not None:
--- a/libs/gateway/src/fuchsiawell/gateway/control/server_view.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/server_view.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiawell.balance import short_id
+from fuchsiawell.balance import MIN_RATE_PER_S, short_id
 from fuchsiawell.shards import LatencyFactors, Member, Owner
 
 if TYPE_CHECKING:
@@ -30,15 +30,22 @@
     def members(self) -> list[Member]:
         """Return the responsive servers that may own keys, ordered by id."""
         members = [
-            Member(
-                _owner(backend),
-                backend.slots / self.latency_factors.latency_factor(short_id(backend.id)),
-            )
+            Member(_owner(backend), self._capacity(backend))
             for backend in self._session.directory.ready_backends(self._service)
             if not self._health.is_unresponsive(_owner(backend))
         ]
         return sorted(members, key=lambda member: member.owner.backend_id)
 
+    def _capacity(self, backend: Backend) -> float:
+        """Return the seconds of service time that a server executes per second."""
+        capacity = backend.slots / self.latency_factors.latency_factor(short_id(backend.id))
+        rate_per_s = self._session.rate_limits.rate_per_s(
+            backend.id, _owner(backend).incarnation_id
+        )
+        if rate_per_s is None:
+            return capacity
+        return min(capacity, max(MIN_RATE_PER_S, rate_per_s) * self.service_time_s())
+
     def has_restarted(self, owner: Owner) -> bool:
         """Return whether a later incarnation of the server has started."""
         return self.latest_incarnation(owner) != owner
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -19,9 +19,9 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.core import Clock
+    from fuchsiawell.gateway.control.limit_tracker import LimitTracker
     from fuchsiawell.gateway.execute.body import RequestBody
     from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
-    from fuchsiawell.gateway.execute.limit_tracker import LimitTracker
     from fuchsiawell.gateway.ports import BackendProtocol, ResponseMetadata
 
 __all__ = ["BackendClient", "Target"]
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from fuchsiawell.balance import AdmissionQueue, QueuedRequest
     from fuchsiawell.gateway.execute.forwarder import ClientRequest
+    from fuchsiawell.gateway.execute.permit_client import PermitClient
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.routing import Backend
 
@@ -24,6 +25,12 @@
 # After this many refusals by the owner of its key a request waits for a new assignment: further
 # attempts would only add load.
 MAX_REFUSALS_PER_FENCE = 2
+# A request that can no longer be on time waits at most this long for a permit.
+LATE_PERMIT_WAIT_S = 0.2
+# At how many servers a request asks for a permit before it is refused.
+MAX_PERMIT_REQUESTS = 3
+# Bound of the retry-after time of a request that the limits of servers do not let through.
+MAX_LIMIT_RETRY_AFTER_S = 10.0
 # A request is refused when less than this part of its usual service time is left.
 MIN_TIME_LEFT_FRACTION = 0.9
 
@@ -31,8 +38,9 @@
 class Placement:
     """Reserve slots at servers; requests that find none wait in queues, the most urgent first."""
 
-    def __init__(self, session: Session) -> None:
+    def __init__(self, session: Session, permits: PermitClient) -> None:
         self._session = session
+        self._permits = permits
 
     async def place(self, request: ClientRequest) -> Target | Refusal:
         """Reserve a slot and return its server, or a refusal; the caller releases the slot."""
@@ -41,9 +49,16 @@
         queued: QueuedRequest | None = None
         waited_since_s: float | None = None
         queue: AdmissionQueue | None = None
+        permit_requests = 0
         try:
             while True:
                 result = self._find_target(request, queued is not None)
+                if isinstance(result, Target) and self._is_limited(result):
+                    if permit_requests == MAX_PERMIT_REQUESTS:
+                        return self._limit_refusal(request)
+                    permit_requests += 1
+                    if not await self._acquire_permit(request, result):
+                        continue
                 if isinstance(result, Target):
                     session.in_flight_counts.started(result.backend_id)
                     self._queue(request).record_admission(session.now_s, waited_since_s)
@@ -89,17 +104,32 @@
         backends = self._session.directory.preferred(request.service)
         if not backends:
             return "no servers"
-        if not was_queued and len(self._session.admission_queue(request.service)):
+        limited = self._limited(backends)
+        all_limited = len(limited) == len(backends)
+        if (
+            not was_queued
+            and not all_limited
+            and len(self._session.admission_queue(request.service))
+        ):
             return "no free slot"
         avoid = (
             set(request.attempted_backends)
             if len(set(request.attempted_backends)) < len(backends)
             else set()
         )
-        candidate = self._session.backend_selector.select(
-            backends, request.route.name, request.body.size_bytes, self._session.now_s, avoid
-        )
-        return "no free slot" if candidate is None else _target_of(candidate.backend)
+        # A limited server is worth a wait for a permit only when no other has free capacity.
+        for max_wait_s in (0.0, self._max_permit_wait_s(request)) if limited else (0.0,):
+            waiting = {b for b in limited if self._permit_wait_s(b, request) > max_wait_s}
+            candidate = self._session.backend_selector.select(
+                backends,
+                request.route.name,
+                request.body.size_bytes,
+                self._session.now_s,
+                avoid | waiting,
+            )
+            if candidate is not None:
+                return _target_of(candidate.backend)
+        return "server limit" if all_limited else "no free slot"
 
     def _find_owner(self, request: ClientRequest, key: int, was_queued: bool) -> Target | str:
         session = self._session
@@ -120,6 +150,8 @@
         own_count = session.in_flight_counts.own_count(owner.backend_id)
         if not session.outlier_detector.admits_owner(owner.backend_id, own_count, session.now_s):
             return "owner unreachable"
+        if self._permit_wait_s(owner.backend_id, request) > self._max_permit_wait_s(request):
+            return "server limit"
         if not was_queued and len(session.admission_queue(request.service, owner.backend_id)):
             return "no free slot"
         if (
@@ -131,14 +163,86 @@
             owner.backend_id, owner.incarnation_id, owner.host, owner.port, assignment.fence
         )
 
+    async def _acquire_permit(self, request: ClientRequest, target: Target) -> bool:
+        """Get a permit for a limited server; False if it is denied or the target has changed."""
+        owned = target.fence != 0
+        has_alternative = not owned and any(
+            backend.id != target.backend_id
+            and free_capacity(backend, self._session.in_flight_counts.total(backend.id)) > 0
+            and self._permit_wait_s(backend.id, request) == 0.0
+            for backend in self._session.directory.preferred(request.service)
+        )
+        wait_s = await self._permits.acquire(
+            target.backend_id,
+            request.route.priority,
+            0.0 if has_alternative else self._max_permit_wait_s(request),
+        )
+        return wait_s == 0.0 and self._is_current(request, target)
+
+    def _is_current(self, request: ClientRequest, target: Target) -> bool:
+        """Return whether a target may still get the request after a wait."""
+        session = self._session
+        if target.fence:
+            assert request.key is not None
+            assignment = session.assignment(request.service, request.key)
+            return (
+                assignment is not None
+                and assignment.fence == target.fence
+                and session.owner_accepts_requests(target.backend_id)
+                and not session.is_blocked(request.service, request.key)
+            )
+        backend = session.directory.by_id.get(target.backend_id)
+        return backend is not None and not backend.draining and _target_of(backend) == target
+
+    def _is_limited(self, target: Target) -> bool:
+        limits = self._session.rate_limits
+        return limits.rate_per_s(target.backend_id, target.incarnation_id) is not None
+
+    def _limited(self, backends: list[Backend]) -> set[str]:
+        limited_ids = self._session.rate_limits.limited_ids
+        return {
+            backend.id
+            for backend in backends
+            if backend.id in limited_ids and self._is_limited(_target_of(backend))
+        }
+
+    def _permit_wait_s(self, backend_id: str, request: ClientRequest) -> float:
+        session = self._session
+        return session.permit_waits.expected_wait_s(
+            backend_id, request.route.priority, session.now_s
+        )
+
+    def _max_permit_wait_s(self, request: ClientRequest) -> float:
+        """Return how long a permit is worth waiting for."""
+        now_s = self._session.now_s
+        on_time_s = self._latest_on_time_start_s(request) - now_s
+        if on_time_s > 0.0:
+            return on_time_s
+        return max(0.0, min(LATE_PERMIT_WAIT_S, self._latest_start_s(request) - now_s))
+
+    def _limit_refusal(self, request: ClientRequest) -> Refusal:
+        """Return a refusal with the time at which a limited server is expected to take it."""
+        session = self._session
+        if request.key is not None and self._is_sharded(request.service):
+            assignment = session.assignment(request.service, request.key)
+            owner = assignment.owner if assignment is not None else None
+            ids = [] if owner is None else [owner.backend_id]
+        else:
+            ids = [backend.id for backend in session.directory.preferred(request.service)]
+        wait_s = min((self._permit_wait_s(i, request) for i in ids), default=0.0)
+        base_s = min(MAX_LIMIT_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return not_executed(
+            f"server limit: the next permit is expected in {wait_s:.3f} s",
+            base_s * session.random.uniform(1.0, 1.4),
+        )
+
     def _early_refusal(
         self, request: ClientRequest, reason: str, started_s: float
     ) -> Refusal | None:
         """Return a refusal if waiting is pointless, None if the request should wait."""
         session = self._session
         now_s = session.now_s
-        service_time_s = session.latency_estimates.service_time_s(request.route.name)
-        latest_start_s = request.deadline_s - MIN_TIME_LEFT_FRACTION * service_time_s
+        latest_start_s = self._latest_start_s(request)
         if now_s >= latest_start_s:
             return not_executed(
                 f"{reason}: not enough time before the deadline", self.retry_after_s()
@@ -146,6 +250,8 @@
         match reason:
             case "no servers":
                 return not_executed(reason, self.retry_after_s(MAX_RETRY_AFTER_S))
+            case "server limit":
+                return self._limit_refusal(request)
             case "no free slot":
                 is_late = now_s > self._latest_on_time_start_s(request)
                 expected_wait_s = self._queue(request).expected_wait_s(
@@ -163,10 +269,7 @@
                 return None
 
     async def _wait(self, request: ClientRequest, reason: str, woken: asyncio.Event) -> None:
-        service_time_s = self._session.latency_estimates.service_time_s(request.route.name)
-        timeout_s = (
-            request.deadline_s - MIN_TIME_LEFT_FRACTION * service_time_s - self._session.now_s
-        )
+        timeout_s = self._latest_start_s(request) - self._session.now_s
         if reason != "no free slot":
             timeout_s = min(timeout_s, OWNER_WAIT_S)
         try:
@@ -175,6 +278,11 @@
         except TimeoutError:
             return
 
+    def _latest_start_s(self, request: ClientRequest) -> float:
+        """Return the latest start time that leaves enough time before the deadline."""
+        service_time_s = self._session.latency_estimates.service_time_s(request.route.name)
+        return request.deadline_s - MIN_TIME_LEFT_FRACTION * service_time_s
+
     def _latest_on_time_start_s(self, request: ClientRequest) -> float:
         """Return the latest start time that meets the target latency of the route."""
         service_time_s = self._session.latency_estimates.service_time_s(request.route.name)
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -11,6 +11,7 @@
     InFlightCounts,
     LatencyEstimates,
     OutlierDetector,
+    PermitWaits,
     PoisonRequestDetector,
     RateLimits,
     RetryBudget,
@@ -110,6 +111,7 @@
         self.outlier_detector = OutlierDetector()
         self.in_flight_counts = InFlightCounts()
         self.rate_limits = RateLimits()
+        self.permit_waits = PermitWaits()
         self.poison_detector = PoisonRequestDetector()
         self.traffic_splitter = TrafficSplitter(random)
         self.retry_budget = RetryBudget(settings.retries)
@@ -193,7 +195,9 @@
                 backend = self.directory.by_id.get(backend_id)
                 backends = [] if backend is None else [backend]
             free_slots = sum(
-                max(0, free_capacity(b, self.in_flight_counts.total(b.id))) for b in backends
+                max(0, free_capacity(b, self.in_flight_counts.total(b.id)))
+                for b in backends
+                if not self.permit_waits.is_waiting(b.id, self.now_s)
             )
             queue.wake(free_slots, self.now_s)
 
@@ -240,6 +244,7 @@
         self.latency_estimates.forget(backend_id)
         self.outlier_detector.forget(backend_id)
         self.rate_limits.forget(backend_id)
+        self.permit_waits.forget(backend_id)
 
     def owner_accepts_requests(self, backend_id: str) -> bool:
         """Return whether an owner may get requests: it is ready, or has just begun to leave."""
--- a/libs/gateway/tests/test_peer_messages.py
+++ b/libs/gateway/tests/test_peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgpack
 import pytest
 
 from fuchsiawell.gateway.control.peer_messages import (
@@ -10,6 +11,10 @@
     GroupLoadReport,
     KeyCountReport,
     LoadReport,
+    PermitReply,
+    PermitRequest,
+    PermitStatus,
+    RateLimitReport,
     ShardMapUpdate,
     SuspicionCleared,
     TermReport,
@@ -30,6 +35,10 @@
     ShardMapUpdate("s", 3, 50, [Assignment(0, 99, 49, OWNER), Assignment(100, 200, 48, None)]),
     CrashReport(1234, "i-1/5"),
     SuspicionCleared(1234),
+    RateLimitReport("i-1", "i-1/5", 1.5, 20),
+    RateLimitReport("i-1", "i-1/5", None, 0),
+    PermitRequest(7, RateLimitReport("i-1", "i-1/5", 0.0, 20), 1, 300, 0),
+    PermitReply(7, PermitStatus.DENIED, 250, RateLimitReport("i-1", "i-1/5", 0.5, 20)),
 ]
 
 
@@ -45,3 +54,10 @@
 def test_malformed_message_raises_value_error(data: bytes) -> None:
     with pytest.raises(ValueError, match="message"):
         decode_message(data)
+
+
+@pytest.mark.parametrize("rate_per_s", [-1.0, float("nan"), float("inf"), "2", True])
+def test_rate_limit_that_is_no_number_of_requests_is_malformed(rate_per_s: object) -> None:
+    data = msgpack.packb(["d-1", 9, "s", "i-1", "i-1/5", rate_per_s, 20])
+    with pytest.raises(ValueError, match="message"):
+        decode_message(data)
--- a/libs/gateway/tests/test_placement.py
+++ b/libs/gateway/tests/test_placement.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from fuchsiawell.core import ManualClock
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
@@ -18,6 +19,9 @@
 
 from builders import backend, configuration, session
 
+if TYPE_CHECKING:
+    from fuchsiawell.gateway.session.state import Session
+
 
 @dataclass
 class FakeBody:
@@ -26,6 +30,23 @@
     parts: list[bytes] = field(default_factory=list)
 
 
+class FakePermits:
+    """The waits of the next requests for a permit, 0.0 if granted."""
+
+    def __init__(self, harness_session: Session) -> None:
+        self.waits_s: list[float] = []
+        self.asked: list[tuple[str, float]] = []
+        self._session = harness_session
+
+    async def acquire(self, backend_id: str, priority: int, max_wait_s: float) -> float:
+        self.asked.append((backend_id, max_wait_s))
+        wait_s = self.waits_s.pop(0) if self.waits_s else 0.0
+        if wait_s:
+            waits = self._session.permit_waits
+            waits.record_denied(backend_id, priority, wait_s, self._session.now_s)
+        return wait_s
+
+
 class PlacementHarness:
     def __init__(self, sharded: bool = False, servers: int = 2) -> None:
         self.clock = ManualClock(1000.0)
@@ -38,7 +59,13 @@
             self.session.apply_shard_map(
                 initial_map("s", "d", [Member(o, 2.0) for o in owners]), "test"
             )
-        self.placement = Placement(self.session)
+        self.permits = FakePermits(self.session)
+        self.placement = Placement(self.session, self.permits)
+
+    def limit(self, *backend_ids: str) -> None:
+        for backend_id in backend_ids:
+            now_s = self.session.now_s
+            self.session.rate_limits.record_named(backend_id, f"{backend_id}/1", 1.0, now_s, now_s)
 
     def request(self, key: int | None = None, timeout_s: float = 1.5) -> ClientRequest:
         now_s = self.clock.monotonic()
@@ -117,3 +144,64 @@
     harness.clock.advance(0.6)
     harness.session.wake()
     assert isinstance(await waiting, Refusal)
+
+
+async def test_request_goes_to_another_server_when_a_limited_one_gives_no_permit() -> None:
+    harness = PlacementHarness()
+    harness.limit("i-0")
+    harness.permits.waits_s = [2.0]
+    targets = [await harness.placement.place(harness.request()) for _ in range(4)]
+    assert {target.backend_id for target in targets} == {"i-1"}
+    # No wait while another server has free capacity, and no second question within the wait.
+    assert harness.permits.asked == [("i-0", 0.0)]
+
+
+async def test_limited_server_gets_the_requests_that_it_permits() -> None:
+    harness = PlacementHarness()
+    harness.limit("i-0")
+    targets = [await harness.placement.place(harness.request()) for _ in range(4)]
+    assert "i-0" in {target.backend_id for target in targets}
+
+
+# Guards against a queue that holds requests which the limits will not let through in time.
+async def test_request_is_refused_at_once_when_all_servers_are_limited() -> None:
+    harness = PlacementHarness()
+    harness.limit("i-0", "i-1")
+    harness.permits.waits_s = [3.0, 2.5]
+    for _ in range(2):
+        refusal = await harness.placement.place(harness.request())
+        assert isinstance(refusal, Refusal)
+        assert refusal.status == 503
+        assert refusal.retry_after is not None
+        assert 2.5 <= refusal.retry_after.total_seconds() <= 2.5 * 1.4
+    assert len(harness.permits.asked) == 2
+
+
+async def test_request_for_a_key_of_a_limited_owner_waits_only_while_it_can_be_on_time() -> None:
+    harness = PlacementHarness(sharded=True)
+    owner = harness.session.assignment("s", 0).owner.backend_id
+    harness.limit(owner)
+    harness.permits.waits_s = [1.0]
+    refusal = await harness.placement.place(harness.request(0))
+    assert isinstance(refusal, Refusal)
+    target_s = harness.session.configuration.routes[0].target_latency.total_seconds()
+    assert 0.0 < harness.permits.asked[0][1] < target_s
+    assert isinstance(await harness.placement.place(harness.request(0)), Refusal)
+    assert len(harness.permits.asked) == 1
+
+
+# Guards against a permit for the former owner of a key that moved while the request waited for it.
+async def test_key_that_moves_during_the_wait_for_a_permit_is_sent_to_its_new_owner() -> None:
+    harness = PlacementHarness(sharded=True)
+    shard_map = harness.session.shard_maps["s"]
+    owner = harness.session.assignment("s", 0).owner
+    harness.limit(owner.backend_id)
+    other = next(o for o in shard_map.owners if o != owner)
+
+    async def move_and_grant(*_: object) -> float:
+        harness.session.apply_shard_map(shard_map.assign([(0, 100, other)]), "test")
+        return 0.0
+
+    harness.permits.acquire = move_and_grant
+    target = await harness.placement.place(harness.request(0))
+    assert target.backend_id == other.backend_id
--- a/libs/shards/tests/test_planner.py
+++ b/libs/shards/tests/test_planner.py
@@ -109,3 +109,14 @@
     shard_map = initial_map("s", "d", MEMBERS)
     moves = plan_moves(shard_map, MEMBERS[1:], {}, SERVICE_TIME_S, (), [(0, 65535)])
     assert OWNERS[0] not in apply(shard_map, moves).owners
+
+
+# Guards against an owner with a rate limit that keeps its keys, or gets them back at once.
+def test_server_that_takes_few_requests_keeps_keys_for_no_more_than_these() -> None:
+    shard_map = initial_map("s", "d", MEMBERS)
+    rates = {key: 0.5 for key in range(0, 65536, 1000)}
+    members = [Member(OWNERS[0], 1.2 * SERVICE_TIME_S), *MEMBERS[1:]]
+    for round_number in range(30):
+        shard_map = apply(shard_map, plan_moves(shard_map, members, rates, SERVICE_TIME_S))
+        if round_number >= 10:
+            assert owner_rate(shard_map, rates, OWNERS[0]) <= 1.2
