Let servers of the soak name limits beside all other faults

The soak had no server with a limit. A series of its own, from the seed plus 2, names limits of 0 to 8 a second that change once and end, at any server, also at one that crashes, is cut or spoils answers; the sequence of the other faults of a seed stays. LimitAudit counts each sliding 4 s by server and daemon; a daemon that is killed, stopped, suspended or cut is excused until 3 s after.

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -35,10 +35,17 @@
 class Clients:
     """Send requests until `stop`; each client uses one daemon at a time."""
 
-    def __init__(self, daemons: list[Daemon], invariants: InvariantChecker, random: Random) -> None:
+    def __init__(
+        self,
+        daemons: list[Daemon],
+        invariants: InvariantChecker,
+        random: Random,
+        daemon_by_request: dict[str, str],
+    ) -> None:
         self._daemons = daemons
         self._invariants = invariants
         self._random = random
+        self._daemon_by_request = daemon_by_request
         self._request_count = 0
         self._stopped = False
         self.connections: dict[int, tuple[Daemon, ClientConnection]] = {}
@@ -60,6 +67,7 @@
         request_id = f"q{self._request_count}"
         idempotent = kind == "safe"
         self._invariants.record_sent(request_id, idempotent)
+        self._daemon_by_request[request_id] = daemon.name
         fields = [
             (b"host", b"a.example"),
             (b"request-id", request_id.encode()),
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from random import Random
 
     from fuchsiawell.soak.daemons import Daemon
     from fuchsiawell.soak.site import SoakSite
@@ -16,6 +17,8 @@
 
 # A server fault is skipped while fewer servers than this are free of faults.
 MIN_CANDIDATE_SERVERS = 3
+# Requests per second that limited servers take from all daemons.
+LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
 
 
 class Faults:
@@ -41,12 +44,15 @@
     async def cut_daemon_from_store(self) -> None:
         """Drop the data between a daemon and the store, one way or both, or reset connections."""
         site = self._site
-        proxy = site.random.choice(list(site.store_proxies.values()))
+        name, proxy = site.random.choice(list(site.store_proxies.items()))
+        started_s = site.clock.monotonic()
         mode = site.random.randrange(4)
         proxy.drop_to_target, proxy.drop_from_target = mode in (0, 2), mode in (1, 2)
         if mode == 3:
             proxy.reset_connections()
-        await asyncio.sleep(site.random.uniform(1.0, 5.0))
+        duration_s = site.random.uniform(1.0, 5.0)
+        site.limit_audit.record_disturbance(name, started_s, started_s + duration_s)
+        await asyncio.sleep(duration_s)
         proxy.clear_faults()
 
     async def store_away(self) -> None:
@@ -91,6 +97,19 @@
         """Make a server lose, truncate and duplicate responses and reject requests."""
         await self._inject_into_server(self._corrupt_responses)
 
+    async def limit_servers(self, random: Random) -> None:
+        """Make servers name rate limits, which change once and end, until cancelled.
+
+        This goes on beside the other faults, also at servers that have one.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            server = random.choice(list(self._site.servers.values()))
+            for rate_per_s in random.sample(LIMITS_PER_S, 2):
+                server.name_limit(rate_per_s)
+                await asyncio.sleep(random.uniform(2.0, 6.0))
+            server.name_limit(None)
+
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
         candidates = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
@@ -98,10 +117,12 @@
             return
         daemon = site.random.choice(candidates)
         self._faulted_daemons.add(daemon.name)
+        started_s = site.clock.monotonic()
         try:
             await fault(daemon)
         finally:
             self._faulted_daemons.discard(daemon.name)
+            site.limit_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
 
     async def _kill_and_restart(self, daemon: Daemon) -> None:
         daemon.send_signal(signal.SIGKILL)
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -51,9 +51,10 @@
     fault_names: list[str] = []
     try:
         await site.start(options.servers, options.daemons, options.program)
-        clients = Clients(site.daemons, site.invariants, Random(seed + 1))
+        clients = Clients(site.daemons, site.invariants, Random(seed + 1), site.daemon_by_request)
         load = asyncio.create_task(clients.run(options.clients, 0.02))
         faults = Faults(site)
+        limits = asyncio.create_task(faults.limit_servers(Random(seed + 2)))
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
             await asyncio.sleep(options.fault_interval_s * random.uniform(0.2, 1.8))
@@ -61,13 +62,14 @@
             fault_names.append(fault.__name__)
             running.append(asyncio.ensure_future(fault(faults)))
         await asyncio.gather(*running)
+        limits.cancel()
         site.clear_faults()
         await _check_recovery(site, clients)
         clients.stop()
         await load
     finally:
         await site.stop()
-    violations = tuple(site.invariants.check_end())
+    violations = (*site.invariants.check_end(), *site.limit_audit.violations())
     return Verdict(seed, violations, dict(site.invariants.statuses), tuple(fault_names))
 
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -10,6 +10,7 @@
 from fuchsiawell.core import SystemClock
 from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.invariants import InvariantChecker
+from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
 from fuchsiawell.standins import MemoryStore, free_ports
 
@@ -32,12 +33,27 @@
     """A backend server that reports grants, releases and executions to the invariant checker."""
 
     invariants: InvariantChecker
+    limit_audit: LimitAudit
+    daemon_by_request: dict[str, str]
     incarnation: int
 
     @property
     def incarnation_id(self) -> str:
         return f"{self.id}/{self.incarnation}"
 
+    def name_limit(self, rate_per_s: float | None) -> None:
+        """Name a rate limit from now on, or none."""
+        self.rate_limit_values = () if rate_per_s is None else (f"{rate_per_s:g}".encode(),)
+        self.limit_audit.record_limit(self.incarnation_id, rate_per_s, self.clock.monotonic())
+
+    def on_arrival(self, request_id: str) -> None:
+        daemon = self.daemon_by_request.get(request_id, "")
+        self.limit_audit.record_arrival(self.incarnation_id, daemon, self.clock.monotonic())
+
+    def on_limit_named(self, request_id: str) -> None:
+        daemon = self.daemon_by_request.get(request_id, "")
+        self.limit_audit.record_told(self.incarnation_id, daemon, self.clock.monotonic())
+
     def on_execute(self, request_id: str) -> None:
         self.invariants.record_execution(request_id, self.incarnation_id)
 
@@ -57,6 +73,8 @@
         self.clock = SystemClock()
         self.random = random
         self.invariants = InvariantChecker()
+        self.limit_audit = LimitAudit()
+        self.daemon_by_request: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.servers: dict[str, CheckedServer] = {}
         self.server_proxies: dict[str, Proxy] = {}
@@ -140,6 +158,8 @@
                 server.extra_responses
             ) = 0
             server.service_time_s = REQUEST_DURATION_S
+            if server.rate_limit_values:
+                server.name_limit(None)
 
     async def stop(self) -> None:
         """Stop all processes, servers and tasks of the site."""
@@ -160,6 +180,7 @@
             name, "s", self.clock, sharded=True, slots=4, service_time_s=REQUEST_DURATION_S
         )
         server.invariants, server.incarnation = self.invariants, incarnation
+        server.limit_audit, server.daemon_by_request = self.limit_audit, self.daemon_by_request
         await server.start()
         self.servers[name] = server
         proxy = self.server_proxies.get(name)
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -11,10 +11,12 @@
 
 from fuchsiawell.adapter import settings_path
 from fuchsiawell.adapter.run import run_daemon
+from fuchsiawell.balance import RateLimits
 from fuchsiawell.gateway.application import Application
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.execute import forwarder
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
+from fuchsiawell.gateway.execute.permit_client import PermitClient
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
 from fuchsiawell.httpio import Exchange
 from fuchsiawell.shards import GrantExpiryTracker
@@ -86,6 +88,16 @@
     Granter._win_election = win_election  # type: ignore[method-assign]
 
 
+def _limit_alone() -> None:
+    """Keep each server's rate limit in each daemon alone, without the others."""
+    PermitClient._issuers = lambda self, backend_id: [self._session.settings.daemon]  # type: ignore[method-assign]
+
+
+def _ignore_limits() -> None:
+    """Take no notice of the rate limits of servers."""
+    RateLimits.rate_per_s = lambda self, backend_id, incarnation_id: None  # type: ignore[method-assign]
+
+
 MUTANTS = {
     "repeat-all": _repeat_all,
     "lie": _lie,
@@ -93,6 +105,8 @@
     "move-early": _move_early,
     "die-at-stop": _die_at_stop,
     "grant-once": _grant_once,
+    "limit-alone": _limit_alone,
+    "ignore-limits": _ignore_limits,
 }
 
 
