--- a/libs/gateway/src/fuchsiawell/gateway/control/limit_tracker.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/limit_tracker.py
@@ -88,7 +88,8 @@
         session.permit_waits.forget(backend_id)
         known = session.rate_limits.latest(backend_id)
         assert known is not None
-        session.log.event(
+        # Bounded, as a server may name another limit in each response.
+        session.request_log.write(
             "server limit",
             server=backend_id,
             incarnation=known.incarnation_id,
--- a/libs/gateway/src/fuchsiawell/gateway/execute/permit_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/permit_client.py
@@ -81,7 +81,7 @@
                 if wait_s is not None:
                     return wait_s
             self._silent_until_s[issuer] = session.now_s + SILENT_ISSUER_S
-            session.log.event("permit issuer silent", server=backend_id, daemon=issuer)
+            session.request_log.write("permit issuer silent", server=backend_id, daemon=issuer)
         return NO_ISSUER_WAIT_S
 
     async def _ask(
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -16,7 +16,6 @@
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.execute import forwarder
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
-from fuchsiawell.gateway.execute.permit_client import PermitClient
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
 from fuchsiawell.httpio import Exchange
 from fuchsiawell.shards import GrantExpiryTracker
@@ -88,11 +87,6 @@
     Granter._win_election = win_election  # type: ignore[method-assign]
 
 
-def _limit_alone() -> None:
-    """Keep each server's rate limit in each daemon alone, without the others."""
-    PermitClient._issuers = lambda self, backend_id: [self._session.settings.daemon]  # type: ignore[method-assign]
-
-
 def _ignore_limits() -> None:
     """Take no notice of the rate limits of servers."""
     RateLimits.rate_per_s = lambda self, backend_id, incarnation_id: None  # type: ignore[method-assign]
@@ -105,7 +99,6 @@
     "move-early": _move_early,
     "die-at-stop": _die_at_stop,
     "grant-once": _grant_once,
-    "limit-alone": _limit_alone,
     "ignore-limits": _ignore_limits,
 }
 
