Send a follower that is behind only the newest version of each key

Suspected cause: in a storm of versions with some 1,760 routes each, a hub sent its followers every version whole over links of 10 Mbit/s, also those that a newer one had replaced.

Now all changes that are pending for a follower go in one batch with the last change of each key, in the order of revisions.

--- a/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
@@ -16,10 +16,12 @@
     Poll,
     encode_frame,
 )
+from fuchsiawell.gateway.ports import StoreChanges
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from fuchsiawell.gateway.control.change_frames import Frame
-    from fuchsiawell.gateway.ports import StoreChanges
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.httpio import Channel
 
@@ -149,10 +151,10 @@
                 await self._send(follower, Gap())
                 return "changes are missing"
             pending = [batch for batch in self._batches if batch.as_of > after]
-            for batch in pending:
-                await self._send(follower, batch)
-                after = batch.as_of
             if pending:
+                changes = _newest_by_key(pending)
+                await self._send(follower, changes)
+                after = changes.as_of
                 continue
             if follower.polled_s is not None and self._current_until_s is not None:
                 polled_s, follower.polled_s = follower.polled_s, None
@@ -176,6 +178,19 @@
             follower.wake.set()
 
 
+def _newest_by_key(batches: Sequence[StoreChanges]) -> StoreChanges:
+    """Return the last change of each key, in the order of the store.
+
+    Versions that a newer one has replaced would only take the time in which that one must arrive.
+    """
+    changes = sorted(
+        (item for batch in batches for item in batch.items), key=lambda item: item.revision
+    )
+    newest = {item.key: item for item in changes}
+    items = tuple(sorted(newest.values(), key=lambda item: item.revision))
+    return StoreChanges(items, batches[-1].as_of)
+
+
 async def _read_polls(reader: FrameReader, follower: _Follower) -> None:
     """Read polls until the follower leaves or sends anything else."""
     try:
