Let daemons ask twice for each permit of a server with a high limit

The wait that an issuer tells was spread so that all daemons together ask at most 100 times a second. With a limit above that, permits would stay unused: at 1,700 daemons one that was denied once would not ask for 17 s, while 500 permits a second are due. Found by reading; the unit test fails before (17 s in place of 1.7 s).

--- a/libs/balance/src/fuchsiawell/balance/permit_issuer.py
+++ b/libs/balance/src/fuchsiawell/balance/permit_issuer.py
@@ -10,8 +10,9 @@
 # Only a response can tell that a limit has ended, so that a server that takes no requests gets one
 # now and then.
 MIN_RATE_PER_S = 0.2
-# Requests for permits that one server may cause: 0.6 % of a core at 63 us a request and its reply.
-MAX_ASKS_PER_S = 100.0
+# Requests for permits that one server may cause: 0.6 % of a core at 63 us a request and its reply;
+# more if its rate is so high that less would leave permits unused.
+MAX_ASKS_PER_S, MAX_ASKS_PER_PERMIT = 100.0, 2.0
 # A daemon that asked within this time is expected to ask again.
 ASKER_TTL_S = 5.0
 # A token, less the rounding errors of its parts.
@@ -128,8 +129,9 @@
             del self._asked_s[next(iter(self._asked_s))]
 
     def _denial(self, ticket: PermitTicket, wait_s: float) -> PermitDecision:
-        """Return a denial whose wait also keeps all askers together below MAX_ASKS_PER_S."""
-        spread_s = len(self._asked_s) / MAX_ASKS_PER_S
+        """Return a denial whose wait also bounds the requests of all askers together."""
+        max_asks_per_s = max(MAX_ASKS_PER_S, MAX_ASKS_PER_PERMIT * self._rate_per_s)
+        spread_s = len(self._asked_s) / max_asks_per_s
         return PermitDecision(ticket, granted=False, wait_s=max(wait_s, spread_s))
 
     def _usable_rate(self, rate_per_s: float) -> float:
--- a/libs/balance/tests/test_permit_issuer.py
+++ b/libs/balance/tests/test_permit_issuer.py
@@ -62,12 +62,20 @@
 
 # Guards against daemons that all ask for a slow server each time a permit is due.
 def test_waits_grow_with_the_number_of_daemons_that_ask() -> None:
-    issuer = PermitIssuer(50.0, 1.0, 2.0, 0.0)
+    issuer = PermitIssuer(1.2, 1.0, 2.0, 0.0)
     for number in range(1700):
         decisions = issuer.request(ticket(number, asker=f"d-{number}"), 0.001)
     assert decisions[-1].wait_s == pytest.approx(1700 / 100, rel=0.01)
 
 
+# Guards against permits that nobody asks for, because the daemons that were denied wait too long.
+def test_waits_leave_two_requests_for_each_permit_of_a_high_limit() -> None:
+    issuer = PermitIssuer(500.0, 1.0, 2.0, 0.0)
+    for number in range(1700):
+        decisions = issuer.request(ticket(number, asker=f"d-{number}"), 0.001)
+    assert decisions[-1].wait_s == pytest.approx(1700 / 1000, rel=0.01)
+
+
 # Guards against timers that are due again at once for the rounding error of a token.
 def test_a_permit_is_due_at_the_time_that_is_told() -> None:
     issuer = PermitIssuer(1.2, 0.4, 1.0, 0.1)
