Take a limit that daemons tell each other for no newer than it is

Callers could have been refused for a server whose limit had ended. A report carries the age of what it tells without its time on the way, so that a limit that goes to an issuer and back with each request for a permit seemed some 3 ms newer each time; after enough of them it outlived a report of its end that another daemon had heard later.

A report of what is already known now counts only if it is newer by more than 0.1 s, more than a datagram takes. The new test fails without the change (100 exchanges).

--- a/libs/balance/src/fuchsiawell/balance/rate_limits.py
+++ b/libs/balance/src/fuchsiawell/balance/rate_limits.py
@@ -10,6 +10,10 @@
 
 __all__ = ["RateLimit", "RateLimits"]
 
+# The age in a report does not count its time on the way, so that what daemons tell each other again
+# and again would seem new. A report of what is known counts only if it is newer by more than that.
+MAX_REPORT_DELAY_S = 0.1
+
 
 @dataclass(frozen=True)
 class RateLimit:
@@ -88,12 +92,14 @@
     def apply_report(self, backend_id: str, limit: RateLimit) -> bool:
         """Apply what another daemon knows of a server; return whether the limit changed."""
         known = self._by_id.get(backend_id)
-        if known is not None and known.named_s >= limit.named_s:
+        if known is None:
+            self._by_id[backend_id] = limit
+            return limit.rate_per_s is not None
+        same = (known.incarnation_id, known.rate_per_s) == (limit.incarnation_id, limit.rate_per_s)
+        if limit.named_s <= known.named_s + (MAX_REPORT_DELAY_S if same else 0.0):
             return False
         self._by_id[backend_id] = limit
-        before = None if known is None else known.rate_per_s
-        same_incarnation = known is not None and known.incarnation_id == limit.incarnation_id
-        return before != limit.rate_per_s or not same_incarnation
+        return not same
 
     def retain(self, incarnation_ids: Collection[str]) -> None:
         """Discard what is known of all other incarnations."""
--- a/libs/balance/tests/test_rate_limits.py
+++ b/libs/balance/tests/test_rate_limits.py
@@ -66,3 +66,17 @@
     assert known.limited_ids == {"i-1"}
     known.retain({NEXT_LIFE})
     assert known.limited_ids == set()
+
+
+# Guards against an old limit that daemons tell each other until it seems newer than its end.
+def test_limit_that_is_told_to_and_fro_does_not_become_newer() -> None:
+    first, second = limits(), RateLimits()
+    for exchange in range(100):
+        told_s = 10.5 + 0.01 * exchange
+        for source, target in ((first, second), (second, first)):
+            known = source.latest("i-1")
+            assert known is not None
+            age_s = told_s - known.named_s
+            target.apply_report("i-1", RateLimit(LIFE, 2.0, told_s + 0.003 - age_s))
+    assert first.apply_report("i-1", RateLimit(LIFE, None, 10.1))
+    assert second.apply_report("i-1", RateLimit(LIFE, None, 10.1))
