Log each request whose connection ends without an answer, and what ended it

A failure to prepare a request or to send its response was logged as internal error without the request, a connection closed with unread data not at all, and a connection given up for unacknowledged data looked like a client that had left.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -38,6 +38,8 @@
 # Time a connection stays open beyond the announced idle timeout: a request may be in transit.
 IDLE_SLACK_S = 1.0
 
+MAX_LOGGED_PATH_BYTES = 200
+
 
 class Frontend:
     """Accept client connections and respond to their requests."""
@@ -99,6 +101,7 @@
                 finally:
                     self._idle.pop(channel, None)
                 if head is None:
+                    self._record_unread(connection, "idle timeout or last response")
                     return
                 self.in_flight += 1
                 try:
@@ -134,15 +137,19 @@
             configuration.limits.max_body_bytes if configuration else DEFAULT_MAX_BODY_BYTES
         )
         body = RequestBody(connection, max_body_bytes)
-        request = self._forwarder.prepare(head, body, started_s)
+        step = "prepare"
+        request: ClientRequest | Refusal | None = None
         try:
+            request = self._forwarder.prepare(head, body, started_s)
+            step = "serve"
             result = await self._serve_request(request, channel)
-        except (ConnectionError, asyncio.CancelledError):
-            self._record_disconnect(request, session.now_s - started_s)
+            channel.on_disconnect = None
+            close_after = session.stopping or not connection.body_complete
+            step = "send"
+            await self._send_result(connection, request, result, close_after)
+        except (Exception, asyncio.CancelledError) as error:
+            self._record_unanswered(connection, request, step, error, started_s)
             raise
-        channel.on_disconnect = None
-        close_after = session.stopping or not connection.body_complete
-        await self._send_result(connection, request, result, close_after)
         self._record_result(request, result, session.now_s - started_s)
         if not connection.body_complete:
             await self._discard_body(connection)
@@ -265,15 +272,44 @@
             ),
         )
 
-    def _record_disconnect(self, request: ClientRequest | Refusal, took_s: float) -> None:
-        if isinstance(request, Refusal):
+    def _record_unanswered(
+        self,
+        connection: ServerConnection,
+        request: ClientRequest | Refusal | None,
+        step: str,
+        error: BaseException,
+        started_s: float,
+    ) -> None:
+        """Log a request whose connection ends before its response is complete."""
+        channel, session = connection.channel, self._session
+        known = request if isinstance(request, ClientRequest) else None
+        left = channel.at_eof
+        session.metrics.count("unanswered", channel.end_reason if left else f"failed to {step}")
+        session.request_log.write(
+            "client left" if left else "request unanswered",
+            request=known.request_id if known else None,
+            route=known.route.name if known else None,
+            path=None if known or connection.head is None else _path(connection.head),
+            tries=len(known.attempted_backends) if known else 0,
+            took_ms=round((session.now_s - started_s) * 1000),
+            left_ms=round((known.deadline_s - session.now_s) * 1000) if known else None,
+            step=step,
+            peer=channel.peer,
+            how=channel.end_reason if left else repr(error),
+            body_read=connection.body_complete,
+        )
+
+    def _record_unread(self, connection: ServerConnection, why: str) -> None:
+        """Log the close of a connection on which part of a request has arrived."""
+        channel = connection.channel
+        if channel.at_eof or not connection.next_request_started:
             return
+        self._session.metrics.count("closed_unread", why)
         self._session.request_log.write(
-            "client left",
-            request=request.request_id,
-            route=request.route.name,
-            tries=len(request.attempted_backends),
-            took_ms=round(took_s * 1000),
+            "connection closed with unread data",
+            peer=channel.peer,
+            why=why,
+            unread_bytes=channel.unread_bytes,
         )
 
     def _head_limits(self) -> HeadLimits:
@@ -294,5 +330,10 @@
     return task is not None and task.cancelling() > 0
 
 
+def _path(head: RequestHead) -> str:
+    """Return the path without its query, shortened for logs."""
+    return head.target.split(b"?", 1)[0][:MAX_LOGGED_PATH_BYTES].decode("latin-1")
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import io
+import json
 from contextlib import asynccontextmanager
 from random import Random
 from typing import TYPE_CHECKING, Any, cast
@@ -17,8 +18,15 @@
 from fuchsiawell.core import LamportClock, ManualClock, open_event_log
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.frontend import Frontend
+from fuchsiawell.gateway.execute.outcome import Response
 from fuchsiawell.gateway.session.state import Session
-from fuchsiawell.httpio import Channel, RequestHead, connect
+from fuchsiawell.httpio import (
+    Channel,
+    InvalidResponseError,
+    RequestHead,
+    ResponseHead,
+    connect,
+)
 
 from builders import configuration, settings
 
@@ -128,6 +136,25 @@
             await asyncio.sleep(0)
     assert "client left" in harness.log.getvalue()
     assert "internal error" not in harness.log.getvalue()
+    assert '"how":"closed by the peer"' in harness.log.getvalue()
+    assert harness.session.metrics.total("unanswered") == 1
+
+
+# Guards against connections that the daemon ends without a trace in its log: LOST in issue 26 could
+# not be told from a client that left.
+async def test_request_whose_connection_the_daemon_ends_is_logged_with_its_step() -> None:
+    async def serve() -> Response:
+        return Response(ResponseHead(999_999, [], 0, False), b"")
+
+    harness = FrontendHarness(serve)
+    async with harness.client() as client, asyncio.timeout(5):
+        with pytest.raises((InvalidResponseError, ConnectionError)):
+            await client.start(GET, 0).read_response_head(lambda _: True)
+    lines = [json.loads(line) for line in harness.log.getvalue().splitlines()]
+    unanswered = [line for line in lines if line["event"] == "request unanswered"]
+    assert [(line["request"], line["step"]) for line in unanswered] == [("r-1", "send")]
+    assert "LocalProtocolError" in unanswered[0]["how"]
+    assert harness.session.metrics.total("unanswered") == 1
 
 
 async def test_partly_received_request_is_served_when_idle_connections_are_closed() -> None:
--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -36,6 +36,8 @@
         self._buffer = bytearray()
         self._reading_paused = False
         self._ended = False
+        # Whether the peer ended its side before the connection was lost.
+        self._closed_by_peer = False
         self._error: Exception | None = None
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
@@ -75,6 +77,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss and wake all pending receive and send calls."""
         self.lost = True
+        self._closed_by_peer = self._ended
         self._ended = True
         self._error = exc
         self._readable.set()
@@ -100,6 +103,21 @@
         """Whether the peer has ended its side or the connection is lost."""
         return self._ended
 
+    @property
+    def end_reason(self) -> str:
+        """How the connection or the peer's side ended, empty while it is open."""
+        if not self._ended:
+            return ""
+        match self._error:
+            case TimeoutError():
+                return "peer does not respond"
+            case None if self.lost and not self._closed_by_peer:
+                return "closed here"
+            case None:
+                return "closed by the peer"
+            case error:
+                return f"{type(error).__name__}: {error}"
+
     @property
     def closing(self) -> bool:
         """Whether this side is closing the connection, or it is not open yet."""
