Give client connections longer timeouts for dead peers than hosts

TCP_USER_TIMEOUT of 1.5 s, meant to find dead links between hosts, was set on client connections too. The kernel applies it to unacknowledged data, to a receive window that stays full, and to keep-alive probes, which began after 2 s: a client that reads slowly, or whose packets wait in the queue of a slow link for that long, was reset, with the response or in the middle of a long request.

Evidence, before the change: test_response_reaches_a_client_that_reads_ after_three_seconds failed with ConnectionResetError [Errno 104]: a client with a small receive buffer that reads 3 s after it has sent its request; the response has 200,000 bytes.

A client that leaves closes its connection, and that arrives as FIN or RST; the work for a client that is gone in silence ends at the request's deadline, an idle connection at the idle timeout. The limit is needed only to bound the memory for responses to dead clients.

Change: the timeouts are a parameter of Channel. Connections of clients get 30 s and keep-alive probes after 10 s; those to servers, the store, peers and collectors keep 1.5 s.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -116,13 +116,13 @@
         """Open all listeners and start the control loops."""
         settings = self._session.settings
         await self._peers.open()
-        for address, accept in (
-            (settings.readiness, self._readiness_server.accept),
-            (settings.metrics, self._metrics_server.accept),
-            (settings.peers, self._change_relay.accept),
-            (settings.clients, self._frontend.accept),
+        for address, create_channel in (
+            (settings.readiness, lambda: Channel(self._readiness_server.accept)),
+            (settings.metrics, lambda: Channel(self._metrics_server.accept)),
+            (settings.peers, lambda: Channel(self._change_relay.accept)),
+            (settings.clients, self._frontend.create_channel),
         ):
-            await self._listen(address, accept)
+            await self._listen(address, create_channel)
         for loop_coroutine in (
             self._store_watcher.run(),
             self._membership.run(),
@@ -169,10 +169,10 @@
         self._peers.close()
         self._pool.close()
 
-    async def _listen(self, address: Address, accept: Callable[[Channel], None]) -> None:
+    async def _listen(self, address: Address, create_channel: Callable[[], Channel]) -> None:
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: Channel(accept), address.host, address.port, backlog=LISTEN_BACKLOG
+            create_channel, address.host, address.port, backlog=LISTEN_BACKLOG
         )
         self._servers.append(server)
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -10,6 +10,7 @@
 from fuchsiawell.gateway.execute.outcome import Response
 from fuchsiawell.gateway.execute.refusal import Refusal, bad_gateway, not_executed, timed_out
 from fuchsiawell.httpio import (
+    CLIENT_TIMEOUTS,
     BadRequestError,
     Channel,
     HeadLimits,
@@ -55,6 +56,10 @@
         self._request_timeouts: set[asyncio.Timeout] = set()
         self.in_flight = 0
 
+    def create_channel(self) -> Channel:
+        """Return the channel for a new connection, which is served once it is open."""
+        return Channel(self.accept, CLIENT_TIMEOUTS)
+
     def accept(self, channel: Channel) -> None:
         """Serve a new connection."""
         task = asyncio.get_running_loop().create_task(self._serve_connection(channel))
--- a/libs/httpio/src/fuchsiawell/httpio/__init__.py
+++ b/libs/httpio/src/fuchsiawell/httpio/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fuchsiawell.httpio.channel import Channel, open_channel
+from fuchsiawell.httpio.channel import CLIENT_TIMEOUTS, Channel, open_channel
 from fuchsiawell.httpio.client import ClientConnection, Exchange, InvalidResponseError, connect
 from fuchsiawell.httpio.messages import (
     Fields,
@@ -14,6 +14,7 @@
 from fuchsiawell.httpio.server import BadRequestError, HeadLimits, ServerConnection
 
 __all__ = [
+    "CLIENT_TIMEOUTS",
     "BadRequestError",
     "Channel",
     "ClientConnection",
--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -5,23 +5,44 @@
 import asyncio
 import contextlib
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Channel", "open_channel"]
+__all__ = ["CLIENT_TIMEOUTS", "Channel", "DeadPeerTimeouts", "open_channel"]
 
 # Reading from the socket pauses when this much received data is unread; a body of the usual size
 # fits.
 RECEIVE_BUFFER_LIMIT_BYTES = 256 * 1024
-# TCP_USER_TIMEOUT: the connection is reset after this time with unacknowledged data or unanswered
-# keep-alive probes. Must be below the 3 s within which a host must detect a dead link, and leave
-# time for a few retransmissions.
-USER_TIMEOUT_MS = 1500
-KEEP_ALIVE_IDLE_S = 2
-KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 2
+
+
+@dataclass(frozen=True)
+class DeadPeerTimeouts:
+    """Times after which the kernel resets a connection whose peer does not respond.
+
+    `user_timeout_ms` (TCP_USER_TIMEOUT) limits the time with unacknowledged data, with a full
+    receive window of the peer, or with unanswered keep-alive probes. The first probe is sent
+    `keep_alive_idle_s` after the last data, the others `keep_alive_interval_s` apart.
+    """
+
+    user_timeout_ms: int
+    keep_alive_idle_s: int
+    keep_alive_interval_s: int
+    keep_alive_probes: int
+
+
+# Must be below the 3 s within which a host must detect a dead link, and leave time for a few
+# retransmissions.
+HOST_TIMEOUTS = DeadPeerTimeouts(
+    user_timeout_ms=1500, keep_alive_idle_s=2, keep_alive_interval_s=1, keep_alive_probes=2
+)
+# A client that leaves closes its connection. Silence may come from a slow reader or from a queue at
+# a slow link, and a response is due all the same; the limit bounds the memory for dead clients.
+CLIENT_TIMEOUTS = DeadPeerTimeouts(
+    user_timeout_ms=30_000, keep_alive_idle_s=10, keep_alive_interval_s=5, keep_alive_probes=4
+)
 
 
 class Channel(asyncio.Protocol):
@@ -30,8 +51,13 @@
     `on_disconnect` is called when the peer ends its side or the connection is lost.
     """
 
-    def __init__(self, on_open: Callable[[Channel], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_open: Callable[[Channel], None] | None = None,
+        timeouts: DeadPeerTimeouts = HOST_TIMEOUTS,
+    ) -> None:
         self._on_open = on_open
+        self._timeouts = timeouts
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._reading_paused = False
@@ -51,7 +77,7 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _set_dead_peer_timeouts(sock)
+            _set_dead_peer_timeouts(sock, self._timeouts)
         if self._on_open is not None:
             self._on_open(self)
 
@@ -187,13 +213,13 @@
     return channel
 
 
-def _set_dead_peer_timeouts(sock: socket.socket) -> None:
+def _set_dead_peer_timeouts(sock: socket.socket, timeouts: DeadPeerTimeouts) -> None:
     for level, option, value in (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, timeouts.keep_alive_idle_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, timeouts.keep_alive_interval_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, timeouts.keep_alive_probes),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeouts.user_timeout_ms),
     ):
         # On a kernel without one of these options, the timeouts of the callers still apply.
         with contextlib.suppress(OSError):
