Serve a request that is read as its connection's idle timeout fires

When the event loop comes late, as on a slow host, one iteration first reads the socket into the channel's buffer and then fires the idle timer. The wait for data is cancelled although the data is there, and next_request took the timeout for silence. In the middle of a head the same gave a 408.

Evidence, before the change: test_a_request_read_as_the_idle_timeout_ fires_is_returned (None instead of the request) and test_a_head_ completed_as_its_timeout_fires_is_returned (BadRequestError 408) failed, both in virtual time with data and timer in one iteration.

Ruled out: that bytes are read between the timeout and the close. Both happen in one step of the task, and close() cancels a read that is due.

Change: after a timeout the buffer is looked at first.

--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -71,26 +71,13 @@
         elif self._parser.our_state is not h11.IDLE:
             return None
         self._head, self._body_complete, self.response_started = None, False, False
-        timeout_s = self._limits.idle_timeout_s
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise BadRequestError(error.error_status_hint, str(error)) from error
             if event is h11.NEED_DATA:
-                head_started = bool(self._parser.trailing_data[0])
-                timeout_s = (
-                    self._limits.head_timeout_s if head_started else self._limits.idle_timeout_s
-                )
-                try:
-                    async with asyncio.timeout(timeout_s):
-                        data = await self.channel.receive()
-                except TimeoutError:
-                    if head_started:
-                        raise BadRequestError(
-                            408, "timeout while reading the request head"
-                        ) from None
-                    return None
+                data = await self._receive_more_of_head()
                 if not data:
                     return None
                 self._parser.receive_data(data)
@@ -184,5 +171,22 @@
         """Send the end of the response."""
         await self.channel.send(self._parser.send(h11.EndOfMessage()) or b"")
 
+    async def _receive_more_of_head(self) -> bytes | None:
+        """Return the next bytes, None after the idle timeout; raises BadRequestError 408."""
+        head_started = bool(self._parser.trailing_data[0])
+        limits = self._limits
+        timeout_s = limits.head_timeout_s if head_started else limits.idle_timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.channel.receive()
+        except TimeoutError:
+            # Bytes that are read in the iteration of the loop in which the timeout fires are in
+            # the buffer, though the wait for them was cancelled.
+            if self.channel.unread_bytes:
+                return await self.channel.receive()
+        if head_started:
+            raise BadRequestError(408, "timeout while reading the request head")
+        return None
+
     def _has_no_body(self, status: int) -> bool:
         return status in (204, 304) or (self._head is not None and self._head.method == b"HEAD")
--- a/libs/httpio/tests/test_server.py
+++ b/libs/httpio/tests/test_server.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fuchsiawell.httpio import BadRequestError, Channel, HeadLimits, ServerConnection
+from fuchsiawell.standins import run_in_virtual_time
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -114,3 +115,36 @@
         await connection.send_response(503, [], b"", close_after=True)
         assert b"connection: close" in await reader.readuntil(b"\r\n\r\n")
         assert await connection.next_request() is None
+
+
+# Guards against LOST in issue 26: on a slow host the idle timeout fires in the iteration of the
+# event loop that reads the request, which was dropped with its connection.
+def test_a_request_read_as_the_idle_timeout_fires_is_returned() -> None:
+    async def read_request() -> None:
+        channel = Channel()
+        connection = ServerConnection(channel, LIMITS)
+        _deliver_at(LIMITS.idle_timeout_s, channel, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/late"
+
+    run_in_virtual_time(read_request())
+
+
+# Guards against refusing a request with 408 whose last bytes are read as the timeout fires.
+def test_a_head_completed_as_its_timeout_fires_is_returned() -> None:
+    async def read_request() -> None:
+        channel = Channel()
+        connection = ServerConnection(channel, LIMITS)
+        channel.data_received(b"GET /late HTTP/1.1\r\n")
+        _deliver_at(LIMITS.head_timeout_s, channel, b"host: a\r\n\r\n")
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/late"
+
+    run_in_virtual_time(read_request())
+
+
+def _deliver_at(time_s: float, channel: Channel, data: bytes) -> None:
+    """Deliver data in the same iteration of the loop as a timer of `time_s`, just before it."""
+    asyncio.get_running_loop().call_at(time_s - 5e-10, channel.data_received, data)
