Apply the client limits of a new configuration to open connections

Clients keep to the newest configuration: they reuse a connection that was idle for up to four fifths of its idle timeout. After a raise, or on a connection accepted before any configuration was known, a request came to a connection that was closed or about to be closed.

Ruled out: that this alone reads a request and drops it. A request that crosses the idle close stays unread in the kernel.

Change: ServerConnection asks for the limits at each wait. When a timeout fires and the limit has been raised meanwhile, it waits on. h11 fixes the header size in its parser, so a parser is replaced, with the bytes of the unfinished head, when the limit has changed.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -94,7 +94,7 @@
         return True
 
     async def _serve_connection(self, channel: Channel) -> None:
-        connection = ServerConnection(channel, self._head_limits())
+        connection = ServerConnection(channel, self._head_limits)
         try:
             while True:
                 self._idle[channel] = connection
--- a/libs/gateway/src/fuchsiawell/gateway/operators/page_server.py
+++ b/libs/gateway/src/fuchsiawell/gateway/operators/page_server.py
@@ -29,7 +29,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, channel: Channel) -> None:
-        connection = ServerConnection(channel, HEAD_LIMITS)
+        connection = ServerConnection(channel, lambda: HEAD_LIMITS)
         try:
             while await connection.next_request() is not None:
                 while await connection.read_body_chunk() is not None:
--- a/libs/gateway/tests/test_client_connections.py
+++ b/libs/gateway/tests/test_client_connections.py
@@ -5,12 +5,17 @@
 import asyncio
 import socket
 from contextlib import asynccontextmanager
+from dataclasses import replace
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from test_frontend import FrontendHarness
 
 from fuchsiawell.gateway.execute.outcome import Response
 from fuchsiawell.httpio import ResponseHead
+from fuchsiawell.standins import MemoryNetwork, run_in_virtual_time
+
+from builders import configuration
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -57,3 +62,24 @@
         received = await _read_until(client, LONG_BODY)
     assert received.startswith(b"HTTP/1.1 200")
     assert received.endswith(LONG_BODY)
+
+
+# Guards against a connection that keeps the limits of the configuration at its start.
+def test_limits_of_a_new_configuration_apply_to_open_connections() -> None:
+    harness = FrontendHarness(_serve_long_body)
+    initial = configuration()
+    raised = replace(
+        initial, version=2, limits=replace(initial.limits, idle_timeout=timedelta(seconds=40))
+    )
+
+    async def reuse_idle_connection() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        loop = asyncio.get_running_loop()
+        loop.call_at(5.0, setattr, harness.session, "configuration", raised)
+        await asyncio.sleep(32.0)
+        client.write(REQUEST)
+        assert (await client.receive()).startswith(b"HTTP/1.1 200")
+
+    run_in_virtual_time(reuse_idle_connection())
--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -11,6 +11,8 @@
 from fuchsiawell.httpio.messages import Fields, RequestHead, first_value
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiawell.httpio.channel import Channel
 
 __all__ = ["BadRequestError", "HeadLimits", "ServerConnection"]
@@ -50,12 +52,16 @@
 
 
 class ServerConnection:
-    """Read requests from one client and write the responses."""
+    """Read requests from one client and write the responses.
+
+    `limits` returns the limits in force; a change applies to the open connection too.
+    """
 
-    def __init__(self, channel: Channel, limits: HeadLimits) -> None:
+    def __init__(self, channel: Channel, limits: Callable[[], HeadLimits]) -> None:
         self.channel = channel
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._limits = limits
+        self._max_header_bytes = limits().max_header_bytes
+        self._parser = _create_parser(self._max_header_bytes)
         self._head: RequestHead | None = None
         self._body_complete = False
         self.response_started = False
@@ -80,6 +86,7 @@
                 data = await self._receive_more_of_head()
                 if not data:
                     return None
+                self._apply_header_size()
                 self._parser.receive_data(data)
                 continue
             if isinstance(event, h11.Request):
@@ -174,19 +181,42 @@
     async def _receive_more_of_head(self) -> bytes | None:
         """Return the next bytes, None after the idle timeout; raises BadRequestError 408."""
         head_started = bool(self._parser.trailing_data[0])
-        limits = self._limits
-        timeout_s = limits.head_timeout_s if head_started else limits.idle_timeout_s
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self.channel.receive()
-        except TimeoutError:
-            # Bytes that are read in the iteration of the loop in which the timeout fires are in
-            # the buffer, though the wait for them was cancelled.
-            if self.channel.unread_bytes:
-                return await self.channel.receive()
+        started_s = asyncio.get_running_loop().time()
+        timeout_s = self._wait_limit_s(head_started)
+        while True:
+            try:
+                async with asyncio.timeout_at(started_s + timeout_s):
+                    return await self.channel.receive()
+            except TimeoutError:
+                # Bytes that are read in the iteration of the loop in which the timeout fires are in
+                # the buffer, though the wait for them was cancelled.
+                if self.channel.unread_bytes:
+                    return await self.channel.receive()
+            previous_timeout_s, timeout_s = timeout_s, self._wait_limit_s(head_started)
+            if timeout_s <= previous_timeout_s:
+                break
         if head_started:
             raise BadRequestError(408, "timeout while reading the request head")
         return None
 
+    def _wait_limit_s(self, head_started: bool) -> float:
+        limits = self._limits()
+        return limits.head_timeout_s if head_started else limits.idle_timeout_s
+
+    def _apply_header_size(self) -> None:
+        """Replace the parser, whose limit is fixed, when the limit has changed."""
+        max_header_bytes = self._limits().max_header_bytes
+        if max_header_bytes == self._max_header_bytes:
+            return
+        unparsed = self._parser.trailing_data[0]
+        self._max_header_bytes = max_header_bytes
+        self._parser = _create_parser(max_header_bytes)
+        if unparsed:
+            self._parser.receive_data(unparsed)
+
     def _has_no_body(self, status: int) -> bool:
         return status in (204, 304) or (self._head is not None and self._head.method == b"HEAD")
+
+
+def _create_parser(max_header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
--- a/libs/httpio/tests/test_server.py
+++ b/libs/httpio/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import pytest
@@ -28,7 +29,7 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     channel = await channels.get()
     try:
-        yield ServerConnection(channel, limits), reader, writer
+        yield ServerConnection(channel, lambda: limits), reader, writer
     finally:
         channel.abort()
         writer.close()
@@ -122,7 +123,7 @@
 def test_a_request_read_as_the_idle_timeout_fires_is_returned() -> None:
     async def read_request() -> None:
         channel = Channel()
-        connection = ServerConnection(channel, LIMITS)
+        connection = ServerConnection(channel, lambda: LIMITS)
         _deliver_at(LIMITS.idle_timeout_s, channel, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
         head = await connection.next_request()
         assert head is not None
@@ -135,7 +136,7 @@
 def test_a_head_completed_as_its_timeout_fires_is_returned() -> None:
     async def read_request() -> None:
         channel = Channel()
-        connection = ServerConnection(channel, LIMITS)
+        connection = ServerConnection(channel, lambda: LIMITS)
         channel.data_received(b"GET /late HTTP/1.1\r\n")
         _deliver_at(LIMITS.head_timeout_s, channel, b"host: a\r\n\r\n")
         head = await connection.next_request()
@@ -145,6 +146,101 @@
     run_in_virtual_time(read_request())
 
 
+@dataclass
+class ChangingLimits:
+    """Limits of a configuration that is replaced by another."""
+
+    current: HeadLimits
+
+    def __call__(self) -> HeadLimits:
+        return self.current
+
+
+# Guards against LOST in issue 26: a connection kept the limits of the configuration that was in
+# force when it was accepted, so requests that the newest one allows were closed or refused.
+def test_a_raised_idle_timeout_applies_to_an_idle_connection() -> None:
+    async def read_request() -> None:
+        limits = ChangingLimits(HeadLimits(10.0, 3.0, 2000))
+        channel = Channel()
+        connection = ServerConnection(channel, limits)
+        loop = asyncio.get_running_loop()
+        loop.call_at(9.0, setattr, limits, "current", HeadLimits(30.0, 3.0, 2000))
+        loop.call_at(24.0, channel.data_received, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/late"
+        assert loop.time() == 24.0
+        while await connection.read_body_chunk() is not None:
+            pass
+
+    run_in_virtual_time(read_request())
+
+
+# Guards against a connection that stays open for the sum of the old and the raised idle timeout.
+def test_a_raised_idle_timeout_counts_from_the_last_request() -> None:
+    async def read_request() -> None:
+        limits = ChangingLimits(HeadLimits(10.0, 3.0, 2000))
+        connection = ServerConnection(Channel(), limits)
+        loop = asyncio.get_running_loop()
+        loop.call_at(9.0, setattr, limits, "current", HeadLimits(30.0, 3.0, 2000))
+        assert await connection.next_request() is None
+        assert loop.time() == pytest.approx(30.0)
+
+    run_in_virtual_time(read_request())
+
+
+# Guards against 408 for a head that takes as long as the newest configuration allows.
+def test_a_raised_header_timeout_applies_to_a_head_that_has_begun() -> None:
+    async def read_request() -> None:
+        limits = ChangingLimits(HeadLimits(10.0, 3.0, 2000))
+        channel = Channel()
+        connection = ServerConnection(channel, limits)
+        channel.data_received(b"GET /slow HTTP/1.1\r\n")
+        loop = asyncio.get_running_loop()
+        loop.call_at(1.0, setattr, limits, "current", HeadLimits(10.0, 8.0, 2000))
+        loop.call_at(7.0, channel.data_received, b"host: a\r\n\r\n")
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/slow"
+
+    run_in_virtual_time(read_request())
+
+
+# Guards against 431 for a head whose size the newest configuration allows.
+@pytest.mark.parametrize("raised_at_s", [1.0, 5.0])
+def test_a_raised_header_size_applies_to_an_open_connection(raised_at_s: float) -> None:
+    async def read_request() -> None:
+        limits = ChangingLimits(HeadLimits(10.0, 8.0, 2000))
+        channel = Channel()
+        connection = ServerConnection(channel, limits)
+        loop = asyncio.get_running_loop()
+        loop.call_at(raised_at_s, setattr, limits, "current", HeadLimits(10.0, 8.0, 6000))
+        loop.call_at(2.0, channel.data_received, b"GET /long HTTP/1.1\r\nhost: a\r\n")
+        loop.call_at(6.0, channel.data_received, b"x: " + b"y" * 4000)
+        loop.call_at(7.0, channel.data_received, b"\r\n\r\n")
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/long"
+        assert len(dict(head.fields)[b"x"]) == 4000
+
+    run_in_virtual_time(read_request())
+
+
+# Guards against a limit that no longer applies once it was raised.
+def test_a_head_over_the_raised_header_size_is_refused_with_431() -> None:
+    async def read_request() -> None:
+        limits = ChangingLimits(HeadLimits(10.0, 8.0, 2000))
+        channel = Channel()
+        connection = ServerConnection(channel, limits)
+        limits.current = HeadLimits(10.0, 8.0, 6000)
+        channel.data_received(b"GET /long HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 6000)
+        with pytest.raises(BadRequestError) as caught:
+            await connection.next_request()
+        assert caught.value.status == 431
+
+    run_in_virtual_time(read_request())
+
+
 def _deliver_at(time_s: float, channel: Channel, data: bytes) -> None:
     """Deliver data in the same iteration of the loop as a timer of `time_s`, just before it."""
     asyncio.get_running_loop().call_at(time_s - 5e-10, channel.data_received, data)
