Wait in a stop until every client connection has ended

Ruled out: requests in the accept backlog and on connections that close_idle closes. They were not read, and their clients see that.

Change: wait_idle waits for the tasks of the connections, and a task ends when the transport has sent its last bytes. Once the stop closes idle connections, those that become idle later are closed too. At the end of the time, connections with an incomplete request are closed unanswered.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -51,7 +51,8 @@
         self._protocol = protocol
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: dict[Channel, ServerConnection] = {}
-        self._no_requests_in_flight = asyncio.Event()
+        # Set by a stop: connections are closed instead of waiting for a further request.
+        self._closing_idle = False
         # Timeouts of the requests in flight; a stop reschedules them to the current time.
         self._request_timeouts: set[asyncio.Timeout] = set()
         self.in_flight = 0
@@ -67,55 +68,45 @@
         task.add_done_callback(self._tasks.discard)
 
     def close_idle(self) -> None:
-        """Close connections with no request in flight and none partly received."""
+        """Close connections with no request in flight and none partly received, also later ones."""
+        self._closing_idle = True
         for channel, connection in list(self._idle.items()):
             if not connection.next_request_started:
                 channel.close()
 
     async def wait_idle(self, timeout_s: float) -> None:
-        """Wait until no request is in flight; cancel those still in flight after `timeout_s`."""
+        """Wait until all connections have ended, with their responses sent.
+
+        After `timeout_s`, cancel the requests in flight and close connections on which a request
+        is incomplete.
+        """
         if await self._idle_within(timeout_s):
             return
-        self._session.log.warning("requests cut by the stop", count=self.in_flight)
+        self._session.log.warning(
+            "requests cut by the stop", count=self.in_flight, connections=len(self._tasks)
+        )
+        for channel in list(self._idle):
+            channel.close()
         now_s = asyncio.get_running_loop().time()
         for timeout in list(self._request_timeouts):
             timeout.reschedule(now_s)
         await self._idle_within(FINAL_RESPONSE_TIMEOUT_S)
 
     async def _idle_within(self, timeout_s: float) -> bool:
-        self._no_requests_in_flight.clear()
-        if not self.in_flight:
-            return True
+        """Return whether all connections end within the time."""
         try:
             async with asyncio.timeout(timeout_s):
-                await self._no_requests_in_flight.wait()
+                while self._tasks:
+                    await asyncio.wait(self._tasks)
         except TimeoutError:
             return False
         return True
 
     async def _serve_connection(self, channel: Channel) -> None:
-        connection = ServerConnection(channel, self._head_limits)
         try:
-            while True:
-                self._idle[channel] = connection
-                try:
-                    head = await connection.next_request()
-                except BadRequestError as error:
-                    await self._refuse_malformed(connection, error)
-                    return
-                finally:
-                    self._idle.pop(channel, None)
-                if head is None:
-                    self._record_unread(connection, "idle timeout or last response")
-                    return
-                self.in_flight += 1
-                try:
-                    if not await self._handle_request(connection, channel, head):
-                        return
-                finally:
-                    self.in_flight -= 1
-                    if not self.in_flight:
-                        self._no_requests_in_flight.set()
+            await self._serve_requests(channel)
+            channel.close()
+            await channel.wait_closed()
         except (ConnectionError, asyncio.CancelledError):
             # The client disconnected; connections to servers for its request have been reset.
             self._session.metrics.count("clients_gone")
@@ -126,6 +117,28 @@
         finally:
             channel.close()
 
+    async def _serve_requests(self, channel: Channel) -> None:
+        """Serve the requests of a connection until it is to be closed."""
+        connection = ServerConnection(channel, self._head_limits)
+        while not self._closing_idle or connection.next_request_started:
+            self._idle[channel] = connection
+            try:
+                head = await connection.next_request()
+            except BadRequestError as error:
+                await self._refuse_malformed(connection, error)
+                return
+            finally:
+                self._idle.pop(channel, None)
+            if head is None:
+                self._record_unread(connection, "idle timeout or last response")
+                return
+            self.in_flight += 1
+            try:
+                if not await self._handle_request(connection, channel, head):
+                    return
+            finally:
+                self.in_flight -= 1
+
     async def _handle_request(
         self, connection: ServerConnection, channel: Channel, head: RequestHead
     ) -> bool:
--- a/libs/gateway/tests/test_client_connections.py
+++ b/libs/gateway/tests/test_client_connections.py
@@ -20,20 +20,34 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from fuchsiawell.httpio import Channel
+
 REQUEST = b"GET /a/1 HTTP/1.1\r\nhost: a.example\r\n\r\n"
-# More than the receive buffer of the client, less than the send buffer of the daemon.
+# More than the write buffer of the daemon's transport takes before a writer waits.
 LONG_BODY = b"x" * 200_000 + b"end"
 
 
+# Less than the transport's write buffer takes before a writer waits.
+SHORT_BODY = b"y" * 50_000 + b"end"
+# Iterations of the event loop, in which whatever needs no network and no timer has happened.
+LOOP_TURNS = 50
+
+
 async def _serve_long_body() -> Response:
     return Response(ResponseHead(200, [], len(LONG_BODY), False), LONG_BODY)
 
 
+async def _serve_short_body() -> Response:
+    return Response(ResponseHead(200, [], len(SHORT_BODY), False), SHORT_BODY)
+
+
 @asynccontextmanager
 async def _raw_client(harness: FrontendHarness) -> AsyncIterator[socket.socket]:
-    """Connect a client that reads only when the test does, with a small receive buffer."""
+    """Connect a client that reads only when the test does; both ends have small buffers."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(harness.frontend.create_channel, "127.0.0.1", 0)
+    # Accepted connections inherit the size.
+    server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     with socket.socket() as client:
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.setblocking(False)
@@ -42,6 +56,11 @@
     server.close()
 
 
+async def _pass_loop_turns() -> None:
+    for _ in range(LOOP_TURNS):
+        await asyncio.sleep(0)
+
+
 async def _read_until(client: socket.socket, ending: bytes) -> bytes:
     received = b""
     while not received.endswith(ending):
@@ -83,3 +102,106 @@
         assert (await client.receive()).startswith(b"HTTP/1.1 200")
 
     run_in_virtual_time(reuse_idle_connection())
+
+
+async def _receive_all(client: Channel) -> bytes:
+    received = b""
+    while data := await client.receive():
+        received += data
+    return received
+
+
+def _stop(harness: FrontendHarness, timeout_s: float) -> asyncio.Task[None]:
+    harness.session.stopping = True
+    harness.frontend.close_idle()
+    return asyncio.create_task(harness.frontend.wait_idle(timeout_s))
+
+
+# Guards against LOST in issue 26: a request whose first bytes had arrived when the daemon closed
+# its idle connections was served while the process ended.
+def test_stop_waits_for_a_request_that_has_begun_to_arrive() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def stop_with_partial_request() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST[:20])
+        await asyncio.sleep(0.1)
+        stopping = _stop(harness, 2.0)
+        await asyncio.sleep(0.5)
+        assert not stopping.done()
+        client.write(REQUEST[20:])
+        received = await _receive_all(client)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(SHORT_BODY)
+        await stopping
+        assert asyncio.get_running_loop().time() < 2.0
+
+    run_in_virtual_time(stop_with_partial_request())
+
+
+# Guards against a stop that a client holds up with a head that never ends.
+def test_stop_does_not_wait_longer_than_its_time_for_a_partial_request() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def stop_with_partial_request() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST[:20])
+        await asyncio.sleep(0.1)
+        await _stop(harness, 2.0)
+        assert asyncio.get_running_loop().time() < 2.5
+        assert await client.receive() == b""
+
+    run_in_virtual_time(stop_with_partial_request())
+
+
+# Guards against LOST in issue 26: a connection that was accepted as the daemon closed its idle
+# connections stayed open, and its request was read while the process ended.
+def test_stop_closes_a_connection_that_is_accepted_last() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def connect_and_stop() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        await _stop(harness, 2.0)
+        await asyncio.sleep(0.1)
+        assert client.at_eof
+
+    run_in_virtual_time(connect_and_stop())
+
+
+# Guards against the same for a connection whose response began before the stop, without an
+# announcement of the close, and ends after the daemon has closed its idle connections.
+async def test_stop_closes_a_connection_that_becomes_idle_late() -> None:
+    harness = FrontendHarness(_serve_long_body)
+    async with _raw_client(harness) as client, asyncio.timeout(10):
+        await asyncio.get_running_loop().sock_sendall(client, REQUEST)
+        while not harness.frontend.in_flight:
+            await asyncio.sleep(0)
+        await _pass_loop_turns()
+        stopping = _stop(harness, 10.0)
+        received = await _read_until(client, LONG_BODY)
+        assert b"connection: close" not in received
+        await stopping
+        assert await _read_until(client, b"more") == b""
+
+
+# Guards against LOST in issue 26: a response that was still in the write buffer of its connection
+# when the last request had ended was lost with the process.
+async def test_stop_waits_until_the_last_response_is_sent() -> None:
+    harness = FrontendHarness(_serve_short_body)
+    async with _raw_client(harness) as client, asyncio.timeout(20):
+        await asyncio.get_running_loop().sock_sendall(client, REQUEST)
+        harness.session.stopping = True
+        while not harness.session.metrics.total("answers"):
+            await asyncio.sleep(0)
+        stopping = _stop(harness, 10.0)
+        await _pass_loop_turns()
+        assert not stopping.done()
+        received = await _read_until(client, SHORT_BODY)
+        assert received.startswith(b"HTTP/1.1 200")
+        await stopping
--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -68,6 +68,7 @@
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._closed = asyncio.Event()
         self.on_disconnect: Callable[[], None] | None = None
         self.lost = False
 
@@ -108,6 +109,7 @@
         self._error = exc
         self._readable.set()
         self._writable.set()
+        self._closed.set()
         self._notify_disconnect()
 
     def pause_writing(self) -> None:
@@ -188,6 +190,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the connection has ended: after `close`, until all queued bytes are sent."""
+        await self._closed.wait()
+
     def abort(self) -> None:
         """Reset the connection at once; bytes not yet delivered are dropped."""
         if self._transport is None or self.lost:
