Read on after an early response until the client has ended its side

A response may come before the whole request was read: 404, 413, 503 to an upload, a server's early response, 400, 408 or 431 for a head. The daemon then read on for 2 s, or not at all after a bad head, and closed. Bytes that arrive at a closed socket make the kernel reset the connection, and a client that sends its request first and reads then fails in the sending and does not see the answer.

Ruled out: unread bytes in the Channel's buffer alone. The kernel has handed them out, so closing with them sends no reset.

Change: after such a response the daemon ends its side, discards what still comes, and closes when the client has ended its side, after 2 s of silence, 10 s, or 64 MiB. The discarded bytes no longer pass the parser. A connection closed between requests is closed as before, and what arrives there stays unread. The stand-in network can end one side.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -15,6 +15,7 @@
     Channel,
     HeadLimits,
     InvalidResponseError,
+    LingerLimits,
     ServerConnection,
     end_to_end_fields,
 )
@@ -30,8 +31,8 @@
 # Limits until a configuration is known: those of a typical configuration.
 DEFAULT_HEAD_LIMITS = HeadLimits(idle_timeout_s=15.0, head_timeout_s=3.0, max_header_bytes=16384)
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
-# Time for a client to send the remainder of a body after an early response.
-DISCARD_BODY_TIMEOUT_S = 2.0
+# For a client to send the remainder of a request after its response, and to read the response.
+LINGER_LIMITS = LingerLimits(silence_s=2.0, total_s=10.0, max_bytes=DEFAULT_MAX_BODY_BYTES)
 # Time to send the responses to requests that are cancelled by a stop.
 FINAL_RESPONSE_TIMEOUT_S = 0.15
 # Clients whose requests are cancelled by a stop can retry at another daemon at once.
@@ -170,7 +171,7 @@
             raise
         self._record_result(request, result, session.now_s - started_s)
         if not connection.body_complete:
-            await self._discard_body(connection)
+            await channel.close_after_peer(LINGER_LIMITS)
         return not close_after
 
     async def _serve_request(
@@ -258,14 +259,7 @@
         )
         self._session.metrics.count("refusals", "malformed")
         await connection.send_response(error.status, [], b"", close_after=True)
-
-    async def _discard_body(self, connection: ServerConnection) -> None:
-        try:
-            async with asyncio.timeout(DISCARD_BODY_TIMEOUT_S):
-                while await connection.read_body_chunk() is not None:
-                    pass
-        except (TimeoutError, BadRequestError, ConnectionError):
-            return
+        await connection.channel.close_after_peer(LINGER_LIMITS)
 
     def _record_result(
         self, request: ClientRequest | Refusal, result: Response | Refusal, took_s: float
--- a/libs/gateway/tests/test_client_connections.py
+++ b/libs/gateway/tests/test_client_connections.py
@@ -9,9 +9,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import pytest
 from test_frontend import FrontendHarness
 
 from fuchsiawell.gateway.execute.outcome import Response
+from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
 from fuchsiawell.httpio import ResponseHead
 from fuchsiawell.standins import MemoryNetwork, run_in_virtual_time
 
@@ -29,6 +31,9 @@
 
 # Less than the transport's write buffer takes before a writer waits.
 SHORT_BODY = b"y" * 50_000 + b"end"
+BODY_CHUNK = b"10000\r\n" + b"z" * 0x10000 + b"\r\n"
+# As many as are read before a server is chosen.
+MAX_BUFFERED_CHUNKS = 16
 # Iterations of the event loop, in which whatever needs no network and no timer has happened.
 LOOP_TURNS = 50
 
@@ -111,6 +116,20 @@
     return received
 
 
+async def _refuse() -> Refusal:
+    return not_executed("no free capacity", 0.1)
+
+
+def _refusing_harness() -> FrontendHarness:
+    """Return a frontend that refuses requests before it has read all of a long body."""
+    harness = FrontendHarness(_refuse)
+    initial = configuration()
+    harness.session.configuration = replace(
+        initial, limits=replace(initial.limits, max_body_bytes=64 * 1024 * 1024)
+    )
+    return harness
+
+
 def _stop(harness: FrontendHarness, timeout_s: float) -> asyncio.Task[None]:
     harness.session.stopping = True
     harness.frontend.close_idle()
@@ -205,3 +224,57 @@
         received = await _read_until(client, SHORT_BODY)
         assert received.startswith(b"HTTP/1.1 200")
         await stopping
+
+
+# Guards against LOST in issue 26: the kernel resets a connection that is closed while its client
+# still sends a body, and a client that reads after it has sent loses the answer.
+def test_early_response_reaches_a_client_that_sends_its_body_for_three_seconds() -> None:
+    harness = _refusing_harness()
+
+    async def send_slowly() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(b"POST /a/1 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n")
+        client.write(BODY_CHUNK * MAX_BUFFERED_CHUNKS)
+        for _ in range(12):
+            await asyncio.sleep(0.25)
+            client.write(BODY_CHUNK)
+        client.write(b"0\r\n\r\n")
+        received = await _receive_all(client)
+        assert received.startswith(b"HTTP/1.1 503")
+        client.close()
+        await asyncio.sleep(0.1)
+        assert not harness.frontend._tasks
+
+    run_in_virtual_time(send_slowly())
+
+
+# Guards against a client that keeps a connection for ever by sending after its answer.
+@pytest.mark.parametrize("pause_s", [0.25, 2.5])
+def test_connection_with_an_early_response_is_closed_in_the_end(pause_s: float) -> None:
+    harness = _refusing_harness()
+
+    async def send_without_end() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(b"POST /a/1 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n")
+        client.write(BODY_CHUNK * MAX_BUFFERED_CHUNKS)
+        with pytest.raises(ConnectionResetError):
+            while asyncio.get_running_loop().time() < 60.0:
+                client.write(BODY_CHUNK)
+                await asyncio.sleep(pause_s)
+        assert not harness.frontend._tasks
+
+    run_in_virtual_time(send_without_end())
+
+
+# Guards against the same for a head that is refused before all of it was read.
+async def test_refusal_of_a_long_head_reaches_a_client_that_sends_all_of_it_first() -> None:
+    harness = FrontendHarness(_serve_short_body)
+    async with _raw_client(harness) as client, asyncio.timeout(10):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(client, REQUEST[:-2] + b"x: " + b"y" * 2_000_000 + b"\r\n\r\n")
+        received = await _read_until(client, b"more")
+    assert received.startswith(b"HTTP/1.1 431")
--- a/libs/httpio/src/fuchsiawell/httpio/__init__.py
+++ b/libs/httpio/src/fuchsiawell/httpio/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fuchsiawell.httpio.channel import CLIENT_TIMEOUTS, Channel, open_channel
+from fuchsiawell.httpio.channel import CLIENT_TIMEOUTS, Channel, LingerLimits, open_channel
 from fuchsiawell.httpio.client import ClientConnection, Exchange, InvalidResponseError, connect
 from fuchsiawell.httpio.messages import (
     Fields,
@@ -22,6 +22,7 @@
     "Fields",
     "HeadLimits",
     "InvalidResponseError",
+    "LingerLimits",
     "RequestHead",
     "ResponseHead",
     "ServerConnection",
--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["CLIENT_TIMEOUTS", "Channel", "DeadPeerTimeouts", "open_channel"]
+__all__ = ["CLIENT_TIMEOUTS", "Channel", "DeadPeerTimeouts", "LingerLimits", "open_channel"]
 
 # Reading from the socket pauses when this much received data is unread; a body of the usual size
 # fits.
@@ -45,6 +45,18 @@
 )
 
 
+@dataclass(frozen=True)
+class LingerLimits:
+    """Limits on discarding what a peer sends after the last response.
+
+    `silence_s` limits the time without new bytes, `total_s` the whole time.
+    """
+
+    silence_s: float
+    total_s: float
+    max_bytes: int
+
+
 class Channel(asyncio.Protocol):
     """One TCP connection with flow control in both directions.
 
@@ -190,6 +202,28 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def close_after_peer(self, limits: LingerLimits) -> None:
+        """End this side after all queued bytes, and close when the peer has ended its side.
+
+        What the peer still sends is discarded: closing with unread bytes would reset the
+        connection, and the peer could lose what was sent to it.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        # The peer may have reset the connection, which its next event tells.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        discarded_bytes = 0
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(limits.total_s):
+                while discarded_bytes < limits.max_bytes:
+                    async with asyncio.timeout(limits.silence_s):
+                        data = await self.receive()
+                    if not data:
+                        break
+                    discarded_bytes += len(data)
+        self.close()
+
     async def wait_closed(self) -> None:
         """Wait until the connection has ended: after `close`, until all queued bytes are sent."""
         await self._closed.wait()
--- a/libs/standins/src/fuchsiawell/standins/virtual_time.py
+++ b/libs/standins/src/fuchsiawell/standins/virtual_time.py
@@ -124,6 +124,13 @@
     def is_closing(self) -> bool:
         return self._closed
 
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        if not self._closed:
+            self._deliver(self._peer.eof_received)
+
     def close(self) -> None:
         if not self._closed:
             self._closed = True
@@ -147,7 +154,7 @@
             self._closed = True
             self.other._peer.connection_lost(None)
 
-    def _deliver(self, callback: Callable[..., None], *arguments: object) -> None:
+    def _deliver(self, callback: Callable[..., object], *arguments: object) -> None:
         if self._hosts in self._network.silent:
             return
         loop = asyncio.get_running_loop()
