Keep the connection open after a refusal to a request without a body

The end of the request was noticed only when the body was read, a refusal reads none, and a body that was not read closes the connection. No answer was lost, but the next request needed a new connection.

Change: the end of a request without a body is read with its head. A head that names a length of 0 beside chunks still has a body.

--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -92,6 +92,8 @@
             if isinstance(event, h11.Request):
                 fields = [(bytes(key), bytes(value)) for key, value in event.headers]
                 self._head = RequestHead(bytes(event.method), bytes(event.target), fields)
+                if first_value(fields, b"transfer-encoding") is None and self.body_length == 0:
+                    self._body_complete = isinstance(self._parser.next_event(), h11.EndOfMessage)
                 return self._head
             return None
 
--- a/libs/httpio/tests/test_server.py
+++ b/libs/httpio/tests/test_server.py
@@ -67,6 +67,31 @@
         assert connection.body_complete
 
 
+# Guards against closing connections after refusals of requests that were read whole: an unread
+# body makes the daemon close, and a request without a body has none to read.
+@pytest.mark.parametrize("fields", [b"", b"content-length: 0\r\n"])
+async def test_a_request_without_a_body_is_complete_with_its_head(fields: bytes) -> None:
+    async with client_connected() as (connection, reader, writer):
+        for number in (b"1", b"2"):
+            writer.write(b"GET /" + number + b" HTTP/1.1\r\nhost: a\r\n" + fields + b"\r\n")
+            head = await connection.next_request()
+            assert head is not None
+            assert head.target == b"/" + number
+            assert connection.body_complete
+            assert await connection.read_body_chunk() is None
+            await connection.send_response(404, [], b"no", close_after=False)
+            assert (await reader.readuntil(b"no")).startswith(b"HTTP/1.1 404")
+
+
+async def test_a_request_with_a_body_is_not_complete_with_its_head() -> None:
+    async with client_connected() as (connection, _, writer):
+        writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n")
+        writer.write(b"content-length: 0\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+        await connection.next_request()
+        assert not connection.body_complete
+        assert await read_body(connection) == b"abc"
+
+
 @pytest.mark.parametrize(
     "data",
     [
