Answer a request that was pipelined behind another in a stop

Evidence, before the change: test_request_pipelined_in_a_stop_is_answered failed (the first response announced the close, the second did not come).

Change: the close is announced in the first response behind which no further request has begun to arrive.

Ruled out, by tests that passed at once: clients of HTTP/1.0, and those that expect 100 Continue, with a body and with a refusal in its place.

After: test_client_connections.py passes.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -163,7 +163,9 @@
             step = "serve"
             result = await self._serve_request(request, channel)
             channel.on_disconnect = None
-            close_after = session.stopping or not connection.body_complete
+            # The close would drop a further request that has begun to arrive.
+            stopping = session.stopping and not connection.next_request_started
+            close_after = stopping or not connection.body_complete
             step = "send"
             await self._send_result(connection, request, result, close_after)
         except (Exception, asyncio.CancelledError) as error:
--- a/libs/gateway/tests/test_client_connections.py
+++ b/libs/gateway/tests/test_client_connections.py
@@ -278,3 +278,73 @@
         await loop.sock_sendall(client, REQUEST[:-2] + b"x: " + b"y" * 2_000_000 + b"\r\n\r\n")
         received = await _read_until(client, b"more")
     assert received.startswith(b"HTTP/1.1 431")
+
+
+# Guards against a further request that is dropped when the response before it announces the close.
+def test_request_pipelined_in_a_stop_is_answered() -> None:
+    harness = FrontendHarness(_serve_short_body)
+    harness.session.stopping = True
+
+    async def send_two_requests() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST * 2)
+        received = await _receive_all(client)
+        first, second = received.split(SHORT_BODY)[:2]
+        assert b"connection: close" not in first
+        assert b"connection: close" in second
+
+    run_in_virtual_time(send_two_requests())
+
+
+# Guards against clients of HTTP/1.0 whose connection is kept open, so that their answer has no end.
+def test_client_of_http_1_0_gets_a_whole_response_and_the_end_of_the_connection() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def send_request() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        received = await _receive_all(client)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(b"\r\n\r\n" + SHORT_BODY)
+
+    run_in_virtual_time(send_request())
+
+
+# Guards against a client that waits for 100 Continue until its request times out.
+def test_client_that_expects_100_continue_gets_it_and_then_its_response() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def send_request() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST[:-2] + b"content-length: 3\r\nexpect: 100-continue\r\n\r\n")
+        assert await client.receive() == b"HTTP/1.1 100 \r\n\r\n"
+        client.write(b"abc")
+        received = b""
+        while not received.endswith(SHORT_BODY):
+            received += await client.receive()
+        assert received.startswith(b"HTTP/1.1 200")
+
+    run_in_virtual_time(send_request())
+
+
+# Guards against a client that is asked for a body whose length is refused.
+def test_client_that_expects_100_continue_gets_a_refusal_in_its_place() -> None:
+    harness = FrontendHarness(_serve_short_body)
+
+    async def send_request() -> None:
+        network = MemoryNetwork()
+        network.listen("daemon", harness.frontend.accept)
+        client = await network.open("client", "daemon", 5.0)
+        client.write(REQUEST[:-2] + b"content-length: 2000000\r\nexpect: 100-continue\r\n\r\n")
+        assert (await _receive_all(client)).startswith(b"HTTP/1.1 413")
+        client.close()
+        await asyncio.sleep(0.1)
+        assert not harness.frontend._tasks
+
+    run_in_virtual_time(send_request())
