Finish requests in a stop without waiting for the store

With a store that does not respond each call takes up to 1.5 s, and only then the daemon closed its listener and waited for its requests. With three sharded services nothing of a grace of 6 s is left: requests are refused at once, or killed.

Change: the granter resigns beside the rest of the stop. If it has not ended when the requests have, it is cancelled like the control loops; the successor waits for the lease, as after any failed resignation.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -141,16 +141,18 @@
         session = self._session
         session.stopping = True
         stop_by_s = session.now_s + session.settings.stop_grace.total_seconds() - CLOSE_RESERVE_S
-        listen_until_s = session.now_s + UNREADY_LISTEN_S
-        await self._granter.stop()
-        await asyncio.sleep(max(0.0, listen_until_s - session.now_s))
+        # The store may be slow, so this must not delay what follows.
+        resignation = asyncio.create_task(self._granter.stop())
+        await asyncio.sleep(UNREADY_LISTEN_S)
         for server in self._servers:
             server.close()
         self._frontend.close_idle()
         await self._frontend.wait_idle(stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s)
-        for task in self._tasks:
+        for task in (resignation, *self._tasks):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        failure, *_ = await asyncio.gather(resignation, *self._tasks, return_exceptions=True)
+        if isinstance(failure, Exception):
+            session.log.warning("granting not ended cleanly", reason=repr(failure))
         await self._membership.leave(max(0.0, stop_by_s + LEAVE_RESERVE_S - session.now_s))
         self._change_relay.close()
         self._rate_limiting.close()
