Count a request as in flight only until its response is sent

`busy_requests` and the count of `requests cut by the stop` named requests that had their answers.

Evidence, before the change: test_early_response_reaches_a_client_that_ sends_its_body_for_three_seconds failed on its new assertion (in_flight 1 after the response).

Change: the rest is discarded after the request has been counted out.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -135,10 +135,13 @@
                 return
             self.in_flight += 1
             try:
-                if not await self._handle_request(connection, channel, head):
-                    return
+                reusable = await self._handle_request(connection, channel, head)
             finally:
                 self.in_flight -= 1
+            if not connection.body_complete:
+                await channel.close_after_peer(LINGER_LIMITS)
+            if not reusable:
+                return
 
     async def _handle_request(
         self, connection: ServerConnection, channel: Channel, head: RequestHead
@@ -172,8 +175,6 @@
             self._record_unanswered(connection, request, step, error, started_s)
             raise
         self._record_result(request, result, session.now_s - started_s)
-        if not connection.body_complete:
-            await channel.close_after_peer(LINGER_LIMITS)
         return not close_after
 
     async def _serve_request(
--- a/libs/gateway/tests/test_client_connections.py
+++ b/libs/gateway/tests/test_client_connections.py
@@ -243,6 +243,7 @@
         client.write(b"0\r\n\r\n")
         received = await _receive_all(client)
         assert received.startswith(b"HTTP/1.1 503")
+        assert not harness.frontend.in_flight
         client.close()
         await asyncio.sleep(0.1)
         assert not harness.frontend._tasks
