Answer requests whose response cannot be sent, and reset broken responses

What callers saw: a response that cannot be encoded closed the connection with 0 bytes. A fault in the middle of a response closed the connection in order, which a client of HTTP/1.0 takes for the end of the body: such a response has no length.

Evidence, tests before the change: test_response_that_cannot_be_sent_is_replaced_by_502_and_logged: InvalidResponseError: can't handle event type ConnectionClosed in state SEND_RESPONSE. test_request_whose_connection_the_daemon_ends_is_logged_with_its_step, for 1.1 and 1.0: DID NOT RAISE ConnectionError.

Change: Frontend._send answers 502 while h11 has not sent any part of the response (the request may have been executed), and resets the connection otherwise. ConnectionErrors, of the client or of a server that broke off, are passed on as before.

test_request_whose_connection_the_daemon_ends_... built its case with a status that cannot be encoded, which is answered now. It keeps each of its assertions with a fault after the response head instead, asserts the reset besides, and runs for both versions of HTTP.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -165,7 +165,7 @@
             stopping = session.stopping and not connection.next_request_started
             close_after = stopping or not connection.body_complete
             step = "send"
-            await self._send_result(connection, request, result, close_after)
+            await self._send(connection, request, result, close_after)
         except (Exception, asyncio.CancelledError) as error:
             self._record_unanswered(connection, request, step, error, started_s)
             raise
@@ -240,11 +240,37 @@
 
     def _internal_error(self, request: ClientRequest, error: BaseException) -> Refusal:
         """Log a fault of the daemon and return a refusal, so that the client gets a response."""
-        self._session.metrics.count("internal_errors", "serve")
+        self._log_internal_error(request, "serve", error)
+        return bad_gateway("internal error")
+
+    def _log_internal_error(
+        self, request: ClientRequest | Refusal, step: str, error: BaseException
+    ) -> None:
+        request_id = request.request_id if isinstance(request, ClientRequest) else None
+        self._session.metrics.count("internal_errors", step)
         self._session.log.warning(
-            "internal error", request=request.request_id, step="serve", error=repr(error)
+            "internal error", request=request_id, step=step, error=repr(error)
         )
-        return bad_gateway("internal error")
+
+    async def _send(
+        self,
+        connection: ServerConnection,
+        request: ClientRequest | Refusal,
+        result: Response | Refusal,
+        close_after: bool,
+    ) -> None:
+        """Send the response, or 502 if it cannot be sent and no part of it has been."""
+        try:
+            await self._send_result(connection, request, result, close_after)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            if not connection.awaits_response:
+                # A close without a reset could look like the end of the response.
+                connection.channel.abort()
+                raise
+            self._log_internal_error(request, "send", error)
+            await connection.send_response(502, [], b"", close_after)
 
     async def _send_result(
         self,
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -160,23 +160,55 @@
     assert harness.session.metrics.total("unanswered") == 1
 
 
+class FailingRemainder:
+    """The remainder of a response that cannot be read because of a fault of the daemon."""
+
+    async def read_body_chunk(self) -> bytes | None:
+        raise KeyError("fault after the response head")
+
+
 # Guards against connections that the daemon ends without a trace in its log: LOST in issue 26 could
-# not be told from a client that left.
-async def test_request_whose_connection_the_daemon_ends_is_logged_with_its_step() -> None:
+# not be told from a client that left. The client must not take the response for complete, not even
+# one without a length.
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+async def test_request_whose_connection_the_daemon_ends_is_logged_with_its_step(
+    version: bytes,
+) -> None:
     async def serve() -> Response:
-        return Response(ResponseHead(999_999, [], 0, False), b"")
+        return Response(ResponseHead(200, []), b"start", cast("Any", FailingRemainder()))
 
     harness = FrontendHarness(serve)
+    received = b""
     async with harness.client() as client, asyncio.timeout(5):
-        with pytest.raises((InvalidResponseError, ConnectionError)):
-            await client.start(GET, 0).read_response_head(lambda _: True)
+        client.channel.write(b"GET /a/1 HTTP/%s\r\nhost: a.example\r\n\r\n" % version)
+        with pytest.raises(ConnectionError):
+            while chunk := await client.channel.receive():
+                received += chunk
     lines = [json.loads(line) for line in harness.log.getvalue().splitlines()]
     unanswered = [line for line in lines if line["event"] == "request unanswered"]
     assert [(line["request"], line["step"]) for line in unanswered] == [("r-1", "send")]
-    assert "LocalProtocolError" in unanswered[0]["how"]
+    assert "KeyError" in unanswered[0]["how"]
     assert harness.session.metrics.total("unanswered") == 1
 
 
+# Guards against a connection closed without an answer when a response cannot be encoded.
+async def test_response_that_cannot_be_sent_is_replaced_by_502_and_logged() -> None:
+    async def serve() -> Response:
+        return Response(ResponseHead(999_999, [], 0, False), b"")
+
+    harness = FrontendHarness(serve)
+    async with harness.client() as client, asyncio.timeout(5):
+        exchange = client.start(GET, 0)
+        await exchange.finish_body()
+        assert (await exchange.read_response_head(lambda _: True)).status == 502
+        assert await exchange.read_body_chunk() is None
+    lines = [json.loads(line) for line in harness.log.getvalue().splitlines()]
+    faults = [line for line in lines if line["event"] == "internal error"]
+    assert [(line["request"], line["step"]) for line in faults] == [("r-1", "send")]
+    assert "LocalProtocolError" in faults[0]["error"]
+    assert harness.session.metrics.total("unanswered") == 0
+
+
 async def test_partly_received_request_is_served_when_idle_connections_are_closed() -> None:
     async def raise_error() -> object:
         raise KeyError("fault after a complete request")
--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -122,6 +122,11 @@
         """Whether the whole request body has been read."""
         return self._body_complete
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether a request has been received and no part of its response has been sent."""
+        return self._parser.our_state is h11.SEND_RESPONSE
+
     async def read_body_chunk(self) -> bytes | None:
         """Return the next part of the request body, None at its end.
 
