Refuse requests of a route whose split has no positive weight

The answer since the guard is an internal error with 503.

Cause: next() in _service_at finds no service with a weight and raises StopIteration. Besides, a negative weight takes away from the shares of the services after it, and the sum of very large weights overflows.

Change: only positive weights take part, relative to the largest; a split without any, or without entries, has no service, and its requests are refused with 503 before anything is sent.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -108,6 +108,8 @@
         if route is None:
             return unknown_route(f"no route for {host}{path}")
         service = session.traffic_splitter.next_service(route)
+        if service is None:
+            return not_executed(f"route {route.name} has no service", DEFAULT_RETRY_AFTER_S)
         timeout_s = metadata.timeout.total_seconds() if metadata.timeout else DEFAULT_TIMEOUT_S
         return ClientRequest(
             head=head,
--- a/libs/gateway/tests/test_forwarder.py
+++ b/libs/gateway/tests/test_forwarder.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.execute.backend_client import Target
 from fuchsiawell.gateway.execute.forwarder import ClientRequest, Forwarder
 from fuchsiawell.gateway.execute.outcome import NotExecuted, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
+from fuchsiawell.gateway.ports import RequestMetadata
 from fuchsiawell.httpio import RequestHead, ResponseHead
+from fuchsiawell.routing import WeightedService
 
 from builders import configuration, session
 
@@ -97,3 +101,34 @@
 
 async def test_non_idempotent_request_is_not_retried_after_server_error() -> None:
     assert await serve([TARGET], [SERVER_ERROR], route_number=1) == SERVER_ERROR
+
+
+# Guards against a connection closed without an answer for each request of a route none of whose
+# services may get requests (issue 26).
+def test_route_without_a_service_is_refused_as_not_executed() -> None:
+    gateway_session = session()
+    served = configuration()
+    no_service = replace(served.routes[0], traffic_split=(WeightedService("s", 0),) * 2)
+    gateway_session.configuration = replace(served, routes=(no_service, served.routes[1]))
+    forwarder = Forwarder(
+        gateway_session,
+        PlatformFields(),
+        FakeBackendClient(),
+        FakePlacement(),
+        PeerMessenger(gateway_session),
+    )
+    for path, expected in ((b"/a/1", Refusal), (b"/once/1", ClientRequest)):
+        head = RequestHead(b"GET", path, [(b"host", b"a.example")])
+        result = forwarder.prepare(head, FakeBody(), gateway_session.now_s)
+        assert isinstance(result, expected)
+        assert not isinstance(result, Refusal) or (result.status, bool(result.retry_after)) == (
+            503,
+            True,
+        )
+
+
+class PlatformFields:
+    """Header fields of a request with an id and no deadline."""
+
+    def parse_request(self, head: RequestHead) -> RequestMetadata:
+        return RequestMetadata("q", None, None)
--- a/libs/routing/src/fuchsiawell/routing/configuration.py
+++ b/libs/routing/src/fuchsiawell/routing/configuration.py
@@ -22,10 +22,13 @@
 
 @dataclass(frozen=True)
 class WeightedService:
-    """A service of a route and its weight in the distribution of the route's requests."""
+    """A service of a route and its weight in the distribution of the route's requests.
+
+    A weight that is not positive stands for no requests.
+    """
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclass(frozen=True)
--- a/libs/routing/src/fuchsiawell/routing/traffic_split.py
+++ b/libs/routing/src/fuchsiawell/routing/traffic_split.py
@@ -26,22 +26,31 @@
         self._random = random
         self._point_by_route: dict[str, float] = {}
 
-    def next_service(self, route: Route) -> str:
-        """Return the name of the service for the route's next request."""
-        traffic_split = route.traffic_split
-        if len(traffic_split) == 1:
-            return traffic_split[0].service
+    def next_service(self, route: Route) -> str | None:
+        """Return the service for the route's next request; None if no weight is positive.
+
+        A weight that is not positive stands for no requests, as in a configuration that takes a
+        service out of a split.
+        """
+        targets = [target for target in route.traffic_split if target.weight > 0]
+        if not targets:
+            return None
+        if len(targets) == 1:
+            return targets[0].service
         point = self._point_by_route.get(route.name)
         if point is None:
             point = self._random.random()
         self._point_by_route[route.name] = (point + GOLDEN_RATIO_STEP) % 1.0
-        return _service_at(traffic_split, point).service
+        return _service_at(targets, point)
 
 
-def _service_at(traffic_split: tuple[WeightedService, ...], point: float) -> WeightedService:
-    remaining = point * sum(target.weight for target in traffic_split)
-    for target in traffic_split:
-        remaining -= target.weight
+def _service_at(targets: list[WeightedService], point: float) -> str:
+    # Relative to the largest weight, as the sum of large weights could overflow.
+    largest = max(target.weight for target in targets)
+    shares = [target.weight / largest for target in targets]
+    remaining = point * sum(shares)
+    for target, share in zip(targets, shares, strict=True):
+        remaining -= share
         if remaining < 0:
-            return target
-    return next(target for target in reversed(traffic_split) if target.weight)
+            return target.service
+    return targets[-1].service
