--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -22,7 +22,6 @@
 from fuchsiawell.gateway.session.state import Session
 from fuchsiawell.httpio import (
     Channel,
-    InvalidResponseError,
     RequestHead,
     ResponseHead,
     connect,
--- a/libs/routing/tests/test_traffic_split.py
+++ b/libs/routing/tests/test_traffic_split.py
@@ -36,8 +36,8 @@
     assert {splitter.next_service(all_new) for _ in range(10)} == {"new"}
 
 
-# Guards against requests that get no answer: no service was found for a request where the weights of
-# a split add up to nothing (issue 26).
+# Guards against requests without an answer: no service was found for them where the weights of a
+# split add up to nothing (issue 26).
 @pytest.mark.parametrize("weights", [(0, 0), (0,), (-1, -2), (-5, 0), ()])
 def test_split_without_a_positive_weight_has_no_service(weights: tuple[int, ...]) -> None:
     split = tuple(WeightedService(f"s{number}", weight) for number, weight in enumerate(weights))
