Take configurations as far as they can be read, and bound what decoders raise

What callers saw or would see: - one unusual field, for example a weight of 0.5, a null max_attempts, a row with a column too few or a split without entries, withheld the whole version with all its routes: requests were handled as only an older version allows, for as long as the field stayed; - a duration out of range (OverflowError) or a record nested 1,000 levels deep (RecursionError), in op/config or in any key under servers/, ended the control loop of the store watch, and so the process of each daemon, with all requests on it; - a server entry with port 65536, a host that no name may have, or an id that no header field can hold was taken: each request that was sent there failed with an internal error, and grants for its service ended.

Change: routes, services and limits are decoded field by field; an unusable field gets a default that is safe for callers (kind: executed once at most; attempts: one; timeout: 30 s; limits: those of a typical configuration), and is reported in Configuration.problems and logged. A route without a usable service stays in force without one, so that it is refused with 503 and not with 404. Still refused whole, with the earlier version kept: no JSON object, no version, no table of routes or services. Server entries need a port, a host name or address, an id of visible characters, and numbers of 64 bits. The decoders of the settings file and of records catch RecursionError and OverflowError.

Ruled out: dropping an unreadable route (404 for what the operator allows) and keeping its earlier version (the decoder has no state; the operator may have meant to change just that).

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -52,6 +52,8 @@
 FIRST_CONFIRMATION_S = 0.5
 # Source of changes that came from the store itself, in logs.
 STORE_SOURCE = "store"
+# Unusable parts of one configuration that are logged.
+MAX_LOGGED_PROBLEMS = 10
 # Bounds of the back-off after a failed call to the store, which varies by 30 %. Entries that are
 # missing when the store is back are kept for ENTRY_RETURN_S; both must be below 3 s together.
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.1, 0.5
@@ -294,6 +296,13 @@
             )
             return
         session.configuration = configuration
+        if configuration.problems:
+            session.log.warning(
+                "configuration unusual, parts left out or replaced by defaults",
+                version=configuration.version,
+                count=len(configuration.problems),
+                reasons=configuration.problems[:MAX_LOGGED_PROBLEMS],
+            )
         session.log.event(
             "configuration taken",
             version=configuration.version,
--- a/libs/routing/src/fuchsiawell/routing/configuration.py
+++ b/libs/routing/src/fuchsiawell/routing/configuration.py
@@ -76,6 +76,8 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: ClientLimits
+    # What could not be read and was left out or replaced by a default.
+    problems: tuple[str, ...] = field(default=(), compare=False)
     routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
