Let no single store entry end the control loop that applies it

What callers would see: an entry that raises anything but ValueError while it is applied ends the control loop of the store watch, and start_loop then the process, on each daemon within moments, with all requests on them. Ways to it: a granter value that is not UTF-8, a daemon entry with a list as its name, a shard map with a map as a range, and what a decoder does not expect. A daemon entry with a port above 65535 or a host that no socket accepts closed the datagram socket for good (asyncio ends the transport at an OverflowError).

Evidence: test_entry_that_cannot_be_applied_is_logged_and_the_others_are_applied before: KeyError: 'nested' out of StoreWatcher.run.

Change: StoreWatcher._apply logs such an entry with step, key, revision and error, counts it, and goes on; what was known of the key stays. decode_peer checks the types and ranges of what it decodes.

Not swallowed: every such entry is a warning and a count (entries_not_applied). Errors of the loop itself still end it.

--- a/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgpack
 
 from fuchsiawell.gateway.session.state import Peer
@@ -20,6 +22,10 @@
 SHARDS_PREFIX = OWN_PREFIX + "shards/"
 # Its value is the name of the elected granter; written under the granter's lease.
 GRANTER_KEY = OWN_PREFIX + "granter"
+# Addresses that a socket accepts: it fails for good on others.
+HOST = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|[0-9A-Fa-f]*:[0-9A-Fa-f:.]*")
+MAX_PORT = 65535
+MAX_CAPACITY_CORES = 1e6
 
 
 def encode_peer(peer: Peer) -> bytes:
@@ -30,6 +36,16 @@
 def decode_peer(value: bytes) -> Peer:
     """Return the daemon that an entry describes; raises ValueError."""
     try:
-        return Peer(*msgpack.unpackb(value))
+        peer = Peer(*msgpack.unpackb(value))
     except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise ValueError(f"malformed daemon entry: {error}") from error
+    texts = (peer.name, peer.start_id, peer.host, peer.zone)
+    if not all(isinstance(text, str) for text in texts) or not HOST.fullmatch(peer.host):
+        raise ValueError("malformed daemon entry: name, host or zone is unusable")
+    if not isinstance(peer.port, int) or not 0 <= peer.port <= MAX_PORT:
+        raise ValueError("malformed daemon entry: port is out of range")
+    if not isinstance(peer.capacity_cores, (int, float)) or not (
+        0.0 <= peer.capacity_cores <= MAX_CAPACITY_CORES
+    ):
+        raise ValueError("malformed daemon entry: capacity is out of range")
+    return peer
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -272,6 +272,23 @@
             self._revision_by_key.pop(key, None)
         else:
             self._revision_by_key[key] = item.revision
+        try:
+            return self._apply_new(item)
+        except Exception as error:
+            # Without it, one entry would end the control loop, on each daemon.
+            self._session.metrics.count("entries_not_applied", key.rpartition("/")[0])
+            self._session.log.warning(
+                "store entry not applied",
+                step="apply",
+                key=key,
+                revision=item.revision,
+                source=self._source,
+                error=repr(error),
+            )
+            return False
+
+    def _apply_new(self, item: Item) -> bool:
+        key = item.key
         if key.startswith(SHARDS_PREFIX):
             return self._apply_map(item)
         if key == self._records.configuration_key:
--- a/libs/gateway/tests/test_store_watcher.py
+++ b/libs/gateway/tests/test_store_watcher.py
@@ -9,11 +9,17 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+import msgpack
 import pytest
 
 from fuchsiawell.core import ManualClock
 from fuchsiawell.gateway.control import store_watcher as module
-from fuchsiawell.gateway.control.store_keys import DAEMONS_PREFIX, GRANTER_KEY, encode_peer
+from fuchsiawell.gateway.control.store_keys import (
+    DAEMONS_PREFIX,
+    GRANTER_KEY,
+    SHARDS_PREFIX,
+    encode_peer,
+)
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.ports import Item, StoreChanges
 from fuchsiawell.gateway.session.state import Peer
@@ -130,3 +136,60 @@
     harness.watcher = StoreWatcher(harness.session, harness.store, FakeRecordDecoder())
     await harness.run_until(lambda: "i-2" in harness.session.directory.by_id)
     assert harness.session.directory.by_id["i-1"].draining
+
+
+class RaisingDecoder(FakeRecordDecoder):
+    """Raises an error that is no ValueError, as deeply nested records do."""
+
+    def decode_configuration(self, value: bytes):
+        if value == b"nested":
+            raise RecursionError("maximum recursion depth exceeded")
+        return super().decode_configuration(value)
+
+    def decode_backend(self, key: str, value: bytes):
+        if value == b"nested":
+            raise KeyError("nested")
+        return super().decode_backend(key, value)
+
+
+# Guards against one entry that ends the process of each daemon, with all its requests (issue 26):
+# an error that is not expected of an entry ended the control loop.
+async def test_entry_that_cannot_be_applied_is_logged_and_the_others_are_applied() -> None:
+    harness = Harness()
+    harness.watcher = StoreWatcher(harness.session, harness.store, RaisingDecoder())
+    put = harness.store.put
+    put("config", b"1")
+    put("servers/i-1", b"good")
+    put(GRANTER_KEY, b"d-2")
+    put("servers/i-0", b"nested")
+    await harness.run_until(lambda: harness.session.granter == "d-2")
+    odd_entries = {
+        "config": b"nested",
+        "servers/i-1": b"nested",
+        GRANTER_KEY: b"\xff\xfe",
+        SHARDS_PREFIX + "s": msgpack.packb([1, "s", "d-1", 1, 2, [], [{}]]),
+        DAEMONS_PREFIX + "d-5": msgpack.packb([["d-5"], "x", "127.0.0.1", 1]),
+        DAEMONS_PREFIX + "d-6": msgpack.packb(["d-6", "x", "127.0.0.1", 65536]),
+        DAEMONS_PREFIX + "d-7": msgpack.packb(["d-7", "x", "127.0.0.1", 1, "a", float("nan")]),
+        DAEMONS_PREFIX + "d-8": msgpack.packb(["d-8", "x", "a..b", 1]),
+        DAEMONS_PREFIX + "d-9": b"\x91" * 100_000,
+    }
+    for key, value in odd_entries.items():
+        put(key, value)
+    put("servers/i-2", b"good")
+    await harness.run_until(lambda: "i-2" in harness.session.directory.by_id)
+    assert harness.session.configuration.version == 1
+    assert harness.session.granter == "d-2"
+    assert set(harness.session.directory.by_id) == {"i-1", "i-2"}
+    assert not harness.session.shard_maps
+    assert not harness.session.peers_by_name
+    logged = [event for event in log_events(harness.session, "store entry not applied")]
+    assert {event["key"] for event in logged} >= {
+        "config",
+        "servers/i-1",
+        "servers/i-0",
+        GRANTER_KEY,
+    }
+    assert {event["step"] for event in logged} == {"apply"}
+    assert all(event["error"] and event["revision"] for event in logged)
+    assert harness.session.metrics.total("entries_not_applied") == len(logged)
