Check types and ranges of datagrams between daemons

What callers would see: a datagram that is damaged, or of another release, decodes with any type in most places. Counts that are no numbers, or a Lamport time near 2^64, then fail later in a control loop (load reports, maintenance), which ends the process with all its requests; an owner of another type reaches the shard map.

Change: decode_message checks each value and raises ValueError, at which the receiver drops the datagram as before. Numbers have 62 bits, as sums and later Lamport times must fit into 64. PeerMessenger logs and counts a message that fails while it is applied.

libs/gateway/tests and libs/balance: 325 passed.

--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from fuchsiawell.shards import Assignment, Owner
+from fuchsiawell.shards import KEY_COUNT, Assignment, Owner
 
 __all__ = [
     "BlockedRanges",
@@ -161,6 +161,12 @@
 )
 
 
+# Larger numbers are malformed: sums of them, and later Lamport times, must fit into 64 bits.
+MAX_NUMBER = 2**62
+MAX_COUNT = MAX_SHORT_ID = 2**32 - 1
+MAX_PORT = 65535
+
+
 def encode_message(sender: str, lamport_time: int, message: Message) -> bytes:
     match message:
         case LoadReport(counts, terms):
@@ -200,42 +206,50 @@
     """Return sender, Lamport time and message; raises ValueError for anything else."""
     try:
         sender, lamport_time, kind, *body = msgpack.unpackb(data, strict_map_key=False)
-        message: Message
-        match kind, body:
-            case "l", [counts, terms]:
-                message = LoadReport(counts, terms)
-            case "g", [counts]:
-                message = GroupLoadReport(counts)
-            case "a", [counts]:
-                message = TotalLoadReport(counts)
-            case "t", [terms]:
-                message = TermReport(terms)
-            case "k", [service, counts, latency_percent]:
-                message = KeyCountReport(service, counts, latency_percent)
-            case "p", [service, ranges]:
-                message = BlockedRanges(service, [(first, last) for first, last in ranges])
-            case "m", [service, term, next_fence, rows]:
-                message = ShardMapUpdate(
-                    service, term, next_fence, [_decode_assignment(row) for row in rows]
-                )
-            case "c", [fingerprint, incarnation_id]:
-                message = CrashReport(fingerprint, incarnation_id)
-            case "o", [fingerprint]:
-                message = SuspicionCleared(fingerprint)
-            case "s", row:
-                message = _decode_limit(row)
-            case "q", [int(number), row, int(priority), int(max_wait_ms), int(rank)]:
-                limit = _decode_limit(row)
-                message = PermitRequest(number, limit, priority, max_wait_ms, rank)
-            case "r", [int(number), status, int(wait_ms), row]:
-                message = PermitReply(number, PermitStatus(status), wait_ms, _decode_limit(row))
-            case _:
-                raise ValueError(f"message kind {kind!r} is unknown")
+        message = _decode_body(kind, body)
+        return _text(sender), _number(lamport_time), message
     except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise ValueError(f"malformed message: {error}") from error
-    if not isinstance(sender, str) or not isinstance(lamport_time, int):
-        raise ValueError("malformed message: sender or Lamport time is missing")
-    return sender, lamport_time, message
+
+
+def _decode_body(kind: object, body: list[object]) -> Message:
+    match kind, body:
+        case "l", [counts, terms]:
+            return LoadReport(_counts(counts), _terms(terms))
+        case "g", [counts]:
+            return GroupLoadReport(_counts(counts))
+        case "a", [counts]:
+            return TotalLoadReport(_counts(counts))
+        case "t", [terms]:
+            return TermReport(_terms(terms))
+        case "k", [service, counts, latency_percent]:
+            key_counts = _counts(counts, max_key=KEY_COUNT - 1)
+            return KeyCountReport(_text(service), key_counts, _counts(latency_percent))
+        case "p", [service, list(rows)]:
+            return BlockedRanges(_text(service), [_key_range(*row) for row in rows])
+        case "m", [service, term, next_fence, list(rows)]:
+            assignments = [_decode_assignment(*row) for row in rows]
+            return ShardMapUpdate(_text(service), _number(term), _number(next_fence), assignments)
+        case "c", [fingerprint, incarnation_id]:
+            return CrashReport(_number(fingerprint), _text(incarnation_id))
+        case "o", [fingerprint]:
+            return SuspicionCleared(_number(fingerprint))
+        case "s", row:
+            return _decode_limit(row)
+        case "q", [number, list(row), priority, max_wait_ms, rank]:
+            return PermitRequest(
+                _number(number),
+                _decode_limit(row),
+                _number(priority),
+                _number(max_wait_ms),
+                _number(rank),
+            )
+        case "r", [number, status, wait_ms, list(row)]:
+            return PermitReply(
+                _number(number), PermitStatus(_text(status)), _number(wait_ms), _decode_limit(row)
+            )
+        case _:
+            raise ValueError(f"message kind {kind!r} is unknown")
 
 
 def _encode_assignment(assignment: Assignment) -> list[object]:
@@ -244,12 +258,47 @@
     return [assignment.first, assignment.last, assignment.fence, row]
 
 
-def _decode_assignment(row: list[object]) -> Assignment:
-    first, last, fence, owner = row
-    assert isinstance(first, int)
-    assert isinstance(last, int)
-    assert isinstance(fence, int)
-    return Assignment(first, last, fence, Owner(*owner) if isinstance(owner, list) else None)
+def _decode_assignment(first: object, last: object, fence: object, owner: object) -> Assignment:
+    first_key, last_key = _key_range(first, last)
+    match owner:
+        case None:
+            return Assignment(first_key, last_key, _number(fence), None)
+        case [backend_id, incarnation, host, port]:
+            decoded = Owner(
+                _text(backend_id), _number(incarnation), _text(host), _number(port, MAX_PORT)
+            )
+            return Assignment(first_key, last_key, _number(fence), decoded)
+        case _:
+            raise ValueError(f"owner {owner!r} is malformed")
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _number(value: object, maximum: int = MAX_NUMBER) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= maximum:
+        raise ValueError(f"{value!r} is no number in range")
+    return value
+
+
+def _key_range(first: object, last: object) -> tuple[int, int]:
+    last_key = _number(last, KEY_COUNT - 1)
+    return _number(first, last_key), last_key
+
+
+def _counts(value: object, max_key: int = MAX_SHORT_ID) -> dict[int, int]:
+    if not isinstance(value, dict):
+        raise ValueError(f"{value!r} are no counts")
+    return {_number(k, max_key): _number(count, MAX_COUNT) for k, count in value.items()}
+
+
+def _terms(value: object) -> dict[str, int]:
+    if not isinstance(value, dict):
+        raise ValueError(f"{value!r} are no terms")
+    return {_text(service): _number(term) for service, term in value.items()}
 
 
 def _encode_limit(limit: RateLimitReport) -> list[object]:
@@ -258,7 +307,9 @@
 
 def _decode_limit(row: list[object]) -> RateLimitReport:
     match row:
-        case [str(backend_id), str(incarnation_id), float() | None as rate_per_s, int(age_ms)]:
+        case [str(backend_id), str(incarnation_id), float() | None as rate_per_s, int(age_ms)] if (
+            age_ms <= MAX_NUMBER
+        ):
             if rate_per_s is None or 0.0 <= rate_per_s < math.inf:
                 return RateLimitReport(backend_id, incarnation_id, rate_per_s, max(0, age_ms))
     raise ValueError(f"rate limit {row!r} is malformed")
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -73,7 +73,18 @@
             return
         self._session.lamport.merge(lamport_time)
         self._session.record_peer_contact(sender)
-        self._apply(sender, message)
+        try:
+            self._apply(sender, message)
+        except Exception as error:
+            session = self._session
+            session.metrics.count("peer_messages_not_applied", type(message).__name__)
+            session.log.warning(
+                "peer message not applied",
+                step=f"apply {type(message).__name__}",
+                peer=addr[0],
+                daemon=sender,
+                error=repr(error),
+            )
 
     def broadcast(self, message: Message) -> None:
         """Send a message to every other daemon."""
--- a/libs/gateway/tests/test_peer_messages.py
+++ b/libs/gateway/tests/test_peer_messages.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from random import Random
+from typing import TYPE_CHECKING
+
 import msgpack
 import pytest
 
+from fuchsiawell.gateway.control.hubs import HubSelector
+from fuchsiawell.gateway.control.load_reporter import LoadReporter
 from fuchsiawell.gateway.control.peer_messages import (
     BlockedRanges,
     CrashReport,
@@ -22,9 +27,26 @@
     decode_message,
     encode_message,
 )
-from fuchsiawell.shards import Assignment, Owner
+from fuchsiawell.gateway.control.peers import PeerMessenger
+from fuchsiawell.gateway.execute.rate_limiting import RateLimiting
+from fuchsiawell.shards import (
+    KEY_COUNT,
+    Assignment,
+    KeyRates,
+    LatencyFactors,
+    Owner,
+    ShardMap,
+    decode_map,
+    encode_map,
+)
+
+from builders import session
+
+if TYPE_CHECKING:
+    from fuchsiawell.gateway.control.peer_messages import Message
 
 OWNER = Owner("i-1", 5, "10.0.0.1", 80)
+SHARD_MAP = ShardMap("s", "d-1", 3, 48, (Assignment(0, KEY_COUNT - 1, 47, OWNER),))
 MESSAGES = [
     LoadReport({7: 2}, {"s": 3}),
     GroupLoadReport({7: 2}),
@@ -61,3 +83,93 @@
     data = msgpack.packb(["d-1", 9, "s", "i-1", "i-1/5", rate_per_s, 20])
     with pytest.raises(ValueError, match="message"):
         decode_message(data)
+
+
+ODD_VALUES = (
+    None,
+    True,
+    -1,
+    2**63,
+    2**64 - 1,
+    1.5,
+    float("nan"),
+    "x",
+    b"x",
+    [],
+    [[]],
+    {},
+    {"x": 1},
+    {1: "x"},
+    {1: -5},
+    {b"x": None},
+    msgpack.Timestamp(5),
+    msgpack.ExtType(5, b""),
+)
+
+
+# Guards against a datagram of another release, or a damaged one, whose contents end a control loop
+# of the daemon later, with all its requests: counts that are no numbers, times that the next
+# message cannot hold (issue 26).
+@pytest.mark.parametrize("seed", range(4))
+async def test_datagram_that_decodes_has_values_that_can_be_sent_on(seed: int) -> None:
+    random = Random(seed)
+    decoded = 0
+    for _ in range(2000):
+        row = msgpack.unpackb(
+            encode_message("d-1", 9, random.choice(MESSAGES)), strict_map_key=False
+        )
+        node, key = row, random.randrange(len(row))
+        while isinstance(node[key], list) and node[key] and random.random() < 0.7:
+            node = node[key]
+            key = random.randrange(len(node))
+        node[key] = random.choice(ODD_VALUES)
+        try:
+            sender, lamport_time, message = decode_message(msgpack.packb(row))
+        except ValueError as error:
+            assert "message" in str(error)
+            continue
+        decoded += 1
+        assert decode_message(encode_message(sender, lamport_time + 1000, message))
+        _apply_to_session(sender, message)
+    assert decoded
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_damaged_datagram_raises_value_error(seed: int) -> None:
+    random = Random(seed)
+    for _ in range(2000):
+        data = bytearray(encode_message("d-1", 9, random.choice(MESSAGES)))
+        for _ in range(random.randint(1, 4)):
+            data[random.randrange(len(data))] = random.randrange(256)
+        try:
+            sender, lamport_time, message = decode_message(bytes(data[: random.randint(1, 999)]))
+        except ValueError as error:
+            assert "message" in str(error)
+            continue
+        assert encode_message(sender, lamport_time + 1000, message)
+        _apply_to_session(sender, message)
+
+
+def _apply_to_session(sender: str, message: Message) -> None:
+    """Use what a message says as the control loops do."""
+    local_session = session()
+    peers = PeerMessenger(local_session)
+    reporter = LoadReporter(local_session, peers, HubSelector(local_session))
+    RateLimiting(local_session, peers)
+    peers.on_load_report = reporter.apply
+    rates, factors = KeyRates(), LatencyFactors()
+    local_session.apply_shard_map(SHARD_MAP, "test")
+    peers._apply(sender, message)
+    counts = local_session.in_flight_counts
+    for report in (counts.full_report(), counts.combined_report([sender])):
+        assert encode_message("d-1", 1, TotalLoadReport(report))
+    assert counts.total("i-1") >= 0
+    local_session.is_blocked("s", 5)
+    if isinstance(message, KeyCountReport):
+        rates.add(message.counts, 1.0)
+        factors.apply_report(message.latency_percent)
+        assert all(0 <= key < KEY_COUNT for key in rates.rates(2.0))
+    if isinstance(message, LoadReport | TermReport):
+        assert all(0 <= term < 2**63 for term in message.terms.values())
+    for shard_map in local_session.shard_maps.values():
+        assert decode_map(encode_map(shard_map)) == shard_map
