Check types and ranges of the frames of change feeds

What callers would see: a frame with, for example, a list as a revision raises TypeError in ChangeFeed.next, which ends the control loop of the store watch and the process.

Change: the decoder raises ValueError, which loses the feed: the follower watches the store itself, as for any malformed frame.

--- a/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import isfinite
 from typing import TYPE_CHECKING
 
 import msgpack
@@ -26,6 +27,8 @@
 # Room for the largest store record and the changes that come with it.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 LENGTH_PREFIX_BYTES = 4
+# Largest revision and lease id, as the store client accepts them.
+MAX_NUMBER = 2**63 - 1
 
 
 @dataclass(frozen=True)
@@ -113,18 +116,32 @@
 def _decode(data: bytes) -> Frame:
     try:
         match msgpack.unpackb(data):
-            case ["follow", str(name), int(after)]:
-                return Follow(name, after)
-            case ["poll", float(sent_s)]:
+            case ["follow", str(name), after]:
+                return Follow(name, _number(after))
+            case ["poll", float(sent_s)] if isfinite(sent_s):
                 return Poll(sent_s)
-            case ["current", float(polled_s), float(age_s)]:
+            case ["current", float(polled_s), float(age_s)] if isfinite(polled_s - age_s):
                 return Confirmation(polled_s, age_s)
             case ["alive"]:
                 return KeepAlive()
             case ["gap"]:
                 return Gap()
-            case ["events", list(rows), int(as_of)]:
-                return StoreChanges([Item(*row) for row in rows], as_of)
+            case ["events", list(rows), as_of]:
+                return StoreChanges([_decode_item(row) for row in rows], _number(as_of))
     except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise ValueError(f"malformed frame: {error}") from error
     raise ValueError("unknown kind of frame")
+
+
+def _decode_item(row: object) -> Item:
+    match row:
+        case [str(key), bytes() | None as value, revision, lease]:
+            return Item(key, value, _number(revision), _number(lease))
+        case _:
+            raise ValueError("store item with fields of another type")
+
+
+def _number(value: object) -> int:
+    if not isinstance(value, int) or not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{value!r} is no number in range")
+    return value
--- a/libs/gateway/tests/test_change_feed.py
+++ b/libs/gateway/tests/test_change_feed.py
@@ -7,8 +7,11 @@
 
 import asyncio
 from contextlib import suppress
+from math import isfinite
+from random import Random
 from typing import TYPE_CHECKING, Any, cast
 
+import msgpack
 import pytest
 
 from fuchsiawell.core import ManualClock
@@ -38,6 +41,15 @@
     from datetime import timedelta
 
 
+FRAMES = (
+    Follow("d-1", 5),
+    Poll(7.5),
+    Confirmation(7.5, 0.25),
+    KeepAlive(),
+    Gap(),
+    StoreChanges([Item("a", b"1", 5, 3), Item("b", None, 6)], 6),
+)
+
 # Far beyond the time that any of these tests takes.
 LATER_S = 2000.0
 
@@ -97,6 +109,48 @@
         await FrameReader(channel).next()
 
 
+# Guards against a hub's frame of another release, or a damaged one, that ends a follower's control
+# loop and so its process, with all its requests (issue 26).
+@pytest.mark.parametrize("seed", range(4))
+async def test_frame_that_decodes_has_values_that_can_be_relayed(seed: int) -> None:
+    random = Random(seed)
+    odd_values = (None, True, -1, 2**64 - 1, 1.5, float("nan"), "x", b"x", [], [[]], {}, {"x": 1})
+    decoded = 0
+    for _ in range(1000):
+        row = msgpack.unpackb(encode_frame(random.choice(FRAMES))[4:])
+        node, key = row, random.randrange(len(row))
+        while isinstance(node[key], list) and node[key] and random.random() < 0.7:
+            node = node[key]
+            key = random.randrange(len(node))
+        node[key] = random.choice(odd_values)
+        data = msgpack.packb(row)
+        reader = FrameReader(channel := Channel())
+        channel.data_received(len(data).to_bytes(4, "big") + data)
+        try:
+            frame = await reader.next()
+        except ValueError:
+            continue
+        decoded += 1
+        assert frame is not None
+        assert encode_frame(frame)
+        match frame:
+            case StoreChanges(items, as_of):
+                assert 0 <= as_of < 2**63
+                for item in items:
+                    assert isinstance(item.key, str)
+                    assert isinstance(item.value, bytes | None)
+                    assert min(item.revision, item.lease) >= 0
+                    assert max(item.revision, item.lease) < 2**63
+            case Follow(name, after):
+                assert isinstance(name, str)
+                assert 0 <= after < 2**63
+            case Poll(sent_s):
+                assert isfinite(sent_s)
+            case Confirmation(polled_s, age_s):
+                assert isfinite(polled_s - age_s)
+    assert decoded
+
+
 async def test_follower_gets_missed_and_later_changes(hub: Hub) -> None:
     hub.relay.reset(5)
     hub.relay.publish(_changes(6))
