Start failed control loops again, and finish requests before ending

What callers saw: an error in any control loop raised SystemExit at once, so that each request of the process lost its connection without an answer. An odd entry of the store does this on all daemons within moments. An error in a step of a planned stop (stop granting, leave) ended the process in the same way.

Evidence: site_harness, one request at work for 1 s, then a loop that raises KeyError: SystemExit 1, the request unanswered (a script of the first test on the code before). test_failing_step_of_a_stop_does_not_cut_requests before: KeyError: 'odd entry' out of Application.stop.

Change: run_control_loop logs and counts the failure, or an unexpected return, and starts the loop again, after 0.25 s and up to 5 s. At the 8th failure within 60 s the loop is broken: the daemon becomes unready, finishes its requests as on SIGTERM and ends with status 1. Steps of a stop that fail are logged, and the stop goes on.

Why a stop and not a daemon that goes on without the loop: without its store watch it would send requests by outdated knowledge, and a new process may do better. Why not at the first failure: with the same cause on all daemons it would take the whole site out.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -9,6 +9,7 @@
 from transitions import Machine
 
 from fuchsiawell.gateway.control.change_relay import ChangeRelay
+from fuchsiawell.gateway.control.control_loop import run_control_loop
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.control.hubs import HubSelector
 from fuchsiawell.gateway.control.load_reporter import LoadReporter
@@ -91,6 +92,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.Server] = []
         self._stop_requested = asyncio.Event()
+        # Name of the control loop that fails again and again, None while all run.
+        self._broken_loop: str | None = None
         Machine(
             self,
             states=["new", "serving", "stopping", "stopped"],
@@ -109,8 +112,18 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         await self.start()
+        await self.serve_until_stopped()
+
+    async def serve_until_stopped(self) -> None:
+        """Wait for a stop to be requested and stop; raises SystemExit if a control loop is broken.
+
+        A daemon with a broken loop stops as on SIGTERM, so that its requests are finished and the
+        load balancer turns to others; its exit status tells what restarts it of the failure.
+        """
         await self._stop_requested.wait()
         await self.stop()
+        if self._broken_loop is not None:
+            raise SystemExit(1)
 
     async def start(self) -> None:
         """Open all listeners and start the control loops."""
@@ -123,16 +136,17 @@
             (settings.clients, self._frontend.create_channel),
         ):
             await self._listen(address, create_channel)
-        for loop_coroutine in (
-            self._store_watcher.run(),
-            self._membership.run(),
-            self._granter.run(),
-            self._load_reporter.run(),
-            self._peers.report_key_counts(),
-            self._maintenance.run(),
-            self._watch_settings(),
+        for name, run in (
+            ("store watch", self._store_watcher.run),
+            ("membership", self._membership.run),
+            ("granter", self._granter.run),
+            ("load reports", self._load_reporter.run),
+            ("key reports", self._peers.report_key_counts),
+            ("maintenance", self._maintenance.run),
+            ("settings watch", self._watch_settings),
         ):
-            self._tasks.append(start_loop(loop_coroutine, self._session))
+            loop_coroutine = run_control_loop(name, run, self._session, self._on_broken_loop)
+            self._tasks.append(asyncio.get_running_loop().create_task(loop_coroutine))
         self.start_serving()  # type: ignore[attr-defined]
 
     async def stop(self) -> None:
@@ -142,7 +156,7 @@
         session.stopping = True
         stop_by_s = session.now_s + session.settings.stop_grace.total_seconds() - CLOSE_RESERVE_S
         # The store may be slow, so this must not delay what follows.
-        resignation = asyncio.create_task(self._granter.stop())
+        resignation = asyncio.create_task(self._stop_step("stop granting", self._granter.stop()))
         await asyncio.sleep(UNREADY_LISTEN_S)
         for server in self._servers:
             server.close()
@@ -150,16 +164,22 @@
         await self._frontend.wait_idle(stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s)
         for task in (resignation, *self._tasks):
             task.cancel()
-        failure, *_ = await asyncio.gather(resignation, *self._tasks, return_exceptions=True)
-        if isinstance(failure, Exception):
-            session.log.warning("granting not ended cleanly", reason=repr(failure))
-        await self._membership.leave(max(0.0, stop_by_s + LEAVE_RESERVE_S - session.now_s))
+        await asyncio.gather(resignation, *self._tasks, return_exceptions=True)
+        leave_s = max(0.0, stop_by_s + LEAVE_RESERVE_S - session.now_s)
+        await self._stop_step("leave", self._membership.leave(leave_s))
         self._change_relay.close()
         self._rate_limiting.close()
         self._pool.close()
         self._peers.close()
         self.finish_stopping()  # type: ignore[attr-defined]
 
+    async def _stop_step(self, step: str, call: Coroutine[None, None, None]) -> None:
+        """Run a step of the stop; its failure must not keep the requests from being finished."""
+        try:
+            await call
+        except Exception as error:
+            self._session.log.warning("step of the stop failed", step=step, error=repr(error))
+
     def abort(self) -> None:
         """Stop at once, as a crash does; for tests only."""
         for server in self._servers:
@@ -213,18 +233,6 @@
     def _log_state(self) -> None:
         self._session.log.event("daemon state", state=self.state)
 
-
-def start_loop(loop_coroutine: Coroutine[None, None, None], session: Session) -> asyncio.Task[None]:
-    """Start a control loop; log its unexpected end, and exit the process if it failed."""
-    task = asyncio.get_running_loop().create_task(loop_coroutine)
-
-    def on_end(done: asyncio.Task[None]) -> None:
-        if done.cancelled():
-            return
-        error = done.exception()
-        session.log.warning("control loop ended", reason=repr(error))
-        if error is not None:
-            raise SystemExit(1) from error
-
-    task.add_done_callback(on_end)
-    return task
+    def _on_broken_loop(self, name: str) -> None:
+        self._broken_loop = name
+        self._stop_requested.set()
