Forward requests whose host field is listed in connection or absent

What callers saw: 502 for a request with "Connection: host", without a send to a server.

Cause: the listed field was left out of the forwarded request, and HTTP/1.1 requires it (h11: Missing mandatory Host: header).

Change: host is never hop-by-hop, and a request without one is sent with an empty one.

--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -69,6 +69,9 @@
         self._must_close = False
         self._stray_response_skipped = False
         self._fields: Fields = list(head.fields)
+        if first_value(head.fields, b"host") is None:
+            # HTTP/1.1 requires the field; a client of HTTP/1.0 need not send it.
+            self._fields.insert(0, (b"host", b""))
         if body_length is None:
             self._fields.append((b"transfer-encoding", b"chunked"))
         elif body_length or head.method not in (b"GET", b"HEAD"):
--- a/libs/httpio/src/fuchsiawell/httpio/messages.py
+++ b/libs/httpio/src/fuchsiawell/httpio/messages.py
@@ -12,6 +12,8 @@
 
 Fields = list[tuple[bytes, bytes]]
 
+# Every recipient needs them, whatever the field `connection` lists.
+_NEVER_HOP_BY_HOP_FIELDS = frozenset({b"host"})
 # `expect` and `content-length` are included because each connection handles them itself.
 _HOP_BY_HOP_FIELDS = frozenset(
     {
@@ -65,7 +67,7 @@
         for key, value in fields
         if key == b"connection"
         for token in value.split(b",")
-    }
+    } - _NEVER_HOP_BY_HOP_FIELDS
     return [
         (key, value)
         for key, value in fields
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -155,3 +155,14 @@
     ]
     assert end_to_end_fields(fields) == [(b"x-other", b"2")]
     assert end_to_end_fields(fields, frozenset({b"x-other"})) == []
+
+
+# Guards against requests that cannot be forwarded: HTTP/1.1 requires the field `host`, which a
+# client may list in `connection`, or not send at all in HTTP/1.0 (issue 26).
+async def test_request_is_sent_with_a_host_field() -> None:
+    fields = [(b"host", b"a"), (b"x-one", b"1"), (b"connection", b"Host, x-one")]
+    assert end_to_end_fields(fields) == [(b"host", b"a")]
+    async with server_sending(response(b"mine", b"good")) as connection:
+        exchange = connection.start(RequestHead(b"GET", b"/x", [(b"request-id", b"mine")]), 0)
+        await exchange.finish_body()
+        assert (await exchange.read_response_head(lambda _: True)).status == 200
