Answer internal errors with 503 where nothing was sent to a server

What callers saw: 502 for each fault of the daemon while it serves a request, also before a send: the client of a request that is not idempotent may not send it again then.

Evidence: test_error_while_forwarding_is_answered_and_logged before: 502 == 503 in the 3 cases without a send.

Change: 503 with a retry-after where ClientRequest.maybe_executed is false.

The test replaces test_error_while_forwarding_gets_502_and_is_logged, which required 502 for requests that were not sent: it requires 502 for those that may have been executed, 503 for the others, and checks the request and step of the log line instead of the text. The test of a partly received request sets maybe_executed, so that its 502 stays.

test_frontend.py: 16 passed.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -37,7 +37,7 @@
 FINAL_RESPONSE_TIMEOUT_S = 0.15
 # Clients whose requests are cancelled by a stop can retry at another daemon at once.
 STOP_RETRY_AFTER_S = 0.05
-# Clients whose requests this daemon failed to prepare can retry at another daemon.
+# Clients whose requests this daemon failed to send to a server can retry at another daemon.
 INTERNAL_ERROR_RETRY_AFTER_S = 0.25
 # Time a connection stays open beyond the announced idle timeout: a request may be in transit.
 IDLE_SLACK_S = 1.0
@@ -241,7 +241,9 @@
     def _internal_error(self, request: ClientRequest, error: BaseException) -> Refusal:
         """Log a fault of the daemon and return a refusal, so that the client gets a response."""
         self._log_internal_error(request, "serve", error)
-        return bad_gateway("internal error")
+        if request.maybe_executed:
+            return bad_gateway("internal error")
+        return not_executed("internal error", INTERNAL_ERROR_RETRY_AFTER_S)
 
     def _log_internal_error(
         self, request: ClientRequest | Refusal, step: str, error: BaseException
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -104,18 +104,23 @@
     raise KeyError("fault of the daemon")
 
 
+# A 503 for a request that may have been executed would let its client send it again; a 502 for one
+# that was not sent keeps the client of a non-idempotent request from sending it again.
+@pytest.mark.parametrize(("maybe_executed", "status"), [(True, 502), (False, 503)])
 @pytest.mark.parametrize(
     "fault", [_await_cancelled_future, _raise_connection_error, _raise_key_error]
 )
-async def test_error_while_forwarding_gets_502_and_is_logged(
-    fault: Callable[[], Awaitable[Any]],
+async def test_error_while_forwarding_is_answered_and_logged(
+    fault: Callable[[], Awaitable[Any]], maybe_executed: bool, status: int
 ) -> None:
     harness = FrontendHarness(fault)
+    harness.forwarder.maybe_executed = maybe_executed
     async with harness.client() as client, asyncio.timeout(5):
         response = await client.start(GET, 0).read_response_head(lambda _: True)
-    assert response.status == 502
-    assert '"internal error"' in harness.log.getvalue()
-    assert "r-1" in harness.log.getvalue()
+    assert response.status == status
+    lines = [json.loads(line) for line in harness.log.getvalue().splitlines()]
+    faults = [line for line in lines if line["event"] == "internal error"]
+    assert [(line["request"], line["step"]) for line in faults] == [("r-1", "serve")]
 
 
 # Guards against a connection closed without an answer when the request's route or header fields
@@ -213,6 +218,7 @@
         raise KeyError("fault after a complete request")
 
     harness = FrontendHarness(raise_error)
+    harness.forwarder.maybe_executed = True
     async with harness.client() as client, asyncio.timeout(5):
         client.channel.write(b"GET /a/1 HTTP/1.1\r\nhost: a.ex")
         await _request_started(harness)
