Take a deadline of 0 for a deadline

Cause: a timedelta of 0 is false, and counted as a missing deadline.

Evidence: test_deadline_is_the_earlier_one_of_client_and_route before: 1001.5 - 1000.0 == 0.0 failed.

Change: only a missing field gets the default.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -110,7 +110,9 @@
         service = session.traffic_splitter.next_service(route)
         if service is None:
             return not_executed(f"route {route.name} has no service", DEFAULT_RETRY_AFTER_S)
-        timeout_s = metadata.timeout.total_seconds() if metadata.timeout else DEFAULT_TIMEOUT_S
+        timeout_s = (
+            DEFAULT_TIMEOUT_S if metadata.timeout is None else metadata.timeout.total_seconds()
+        )
         return ClientRequest(
             head=head,
             request_id=metadata.request_id,
--- a/libs/gateway/tests/test_forwarder.py
+++ b/libs/gateway/tests/test_forwarder.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from datetime import timedelta
+
+import pytest
 
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.execute.backend_client import Target
@@ -128,7 +131,32 @@
 
 
 class PlatformFields:
-    """Header fields of a request with an id and no deadline."""
+    """Header fields of a request with an id and the given deadline."""
+
+    timeout: timedelta | None = None
 
     def parse_request(self, head: RequestHead) -> RequestMetadata:
-        return RequestMetadata("q", None, None)
+        return RequestMetadata("q", self.timeout, None)
+
+
+# Guards against a request that gets the time of its route although its client does not wait: a
+# deadline of 0 counted as none.
+@pytest.mark.parametrize(("timeout_s", "left_s"), [(0.0, 0.0), (1.0, 1.0), (9.0, 1.5), (None, 1.5)])
+def test_deadline_is_the_earlier_one_of_client_and_route(
+    timeout_s: float | None, left_s: float
+) -> None:
+    gateway_session = session()
+    gateway_session.configuration = configuration()
+    fields = PlatformFields()
+    fields.timeout = None if timeout_s is None else timedelta(seconds=timeout_s)
+    forwarder = Forwarder(
+        gateway_session,
+        fields,
+        FakeBackendClient(),
+        FakePlacement(),
+        PeerMessenger(gateway_session),
+    )
+    head = RequestHead(b"GET", b"/a/1", [(b"host", b"a.example")])
+    request = forwarder.prepare(head, FakeBody(), gateway_session.now_s)
+    assert isinstance(request, ClientRequest)
+    assert request.deadline_s - gateway_session.now_s == left_s
