Raise OSError for addresses that no socket accepts

What callers would see: a port out of range or a host name that cannot be encoded raises OverflowError or ValueError out of open_channel, which promises OSError. The grants of a service ended at it, and a request got an internal error instead of another server.

Evidence: test_unusable_address_raises_os_error before, 5 of 5 failed: OverflowError: connect(): port must be 0-65535; UnicodeError: label too long; ValueError: embedded null character.

Change: open_channel raises OSError with the address for them.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -248,8 +248,12 @@
 async def open_channel(host: str, port: int, timeout_s: float) -> Channel:
     """Open a connection; raises OSError, or TimeoutError after `timeout_s`."""
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
-        _, channel = await loop.create_connection(Channel, host, port)
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, channel = await loop.create_connection(Channel, host, port)
+    except (ValueError, OverflowError) as error:
+        # Of a host name that cannot be encoded, or a port out of range.
+        raise OSError(f"unusable address {host!r}:{port}: {error}") from error
     return channel
 
 
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -166,3 +166,14 @@
         exchange = connection.start(RequestHead(b"GET", b"/x", [(b"request-id", b"mine")]), 0)
         await exchange.finish_body()
         assert (await exchange.read_response_head(lambda _: True)).status == 200
+
+
+# Guards against errors that no caller expects when a server's entry names an address that no
+# socket accepts: they ended the granting of a service, or a daemon's datagrams (issue 26).
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [("127.0.0.1", 65536), ("127.0.0.1", -1), ("a" * 70, 80), ("a..b", 80), ("a\x00b", 80)],
+)
+async def test_unusable_address_raises_os_error(host: str, port: int) -> None:
+    with pytest.raises(OSError, match="address"):
+        await connect(host, port, 2.0)
