Pass on bodies without a length after 256 KiB instead of holding them whole

What callers saw: a server that sends a body without a length and without end made a daemon hold all of it until the deadline.

Cause: `len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES or head.close_delimited` in BackendClient._receive has no bound for such a body.

Evidence, on the code before: test_a_daemon_takes_little_of_a_body_whose_client_does_not_read[NO_LENGTH]: the daemon took all of the 67,108,864 bytes to which the stand-in is limited; the three forms with a length or in chunks passed. The two tests of a reset inside such a body got 504 at the deadline, since no part was passed on.

Change: the bound holds for all responses. A connection that is reset inside such a body aborts the client's connection too: a client of HTTP/1.0 would take an ordinary close for the end of the body.

Ruled out: a limit on the length of a response, as a long one may be what the client asked for.

After: the seven tests pass.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -143,7 +143,7 @@
             target.backend_id, target.incarnation_id, metadata, sent_s
         )
         buffered = bytearray()
-        while len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES or head.close_delimited:
+        while len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES:
             chunk = await exchange.read_body_chunk()
             if chunk is None:
                 self._return_connection(target, connection, exchange)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -297,7 +297,7 @@
             await connection.send_body_chunk(result.body)
             while (chunk := await result.remainder.read_body_chunk()) is not None:
                 await connection.send_body_chunk(chunk)
-        except InvalidResponseError as error:
+        except (InvalidResponseError, ConnectionError) as error:
             # Abort, so that the client detects the truncated response.
             connection.channel.abort()
             raise ConnectionResetError(f"response truncated: {error}") from error
