End the remainder of a long response in time, and close its connection

The server counted as healthy from its first 256 KiB on.

Cause: Frontend._send_result read the remainder without a deadline, outside the timeouts that a stop reschedules, with the notice of a client that leaves switched off; nothing released or aborted the connection that was handed on with the remainder.

The outcome for the outlier detection is recorded at its end: a failure if the server was waited for, or if more than 1 MiB has been passed on of a response that announces no length (or over 64 MiB); nothing if the client took less or left.

Ruled out: to end the response at the deadline itself, as one that is nearly complete is still of use; to blame the side on which the daemon waits, since it always waits for the client when a server sends without end.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -5,9 +5,11 @@
 import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
+from fuchsiawell.gateway.execute.remainder import Remainder
 from fuchsiawell.httpio import (
     BadRequestError,
     ClientConnection,
@@ -149,7 +151,8 @@
                 self._return_connection(target, connection, exchange)
                 return _classify(target, head, metadata, bytes(buffered))
             buffered += chunk
-        return Response(head, bytes(buffered), exchange)
+        release = partial(self._return_connection, target, connection, exchange)
+        return Response(head, bytes(buffered), Remainder(head, exchange, connection, release))
 
 
 def _classify(
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -291,6 +291,11 @@
     ) -> None:
         session = self._session
         match outcome:
+            case Response(remainder=remainder) if remainder is not None:
+                # Whether the server has responded is known at the end of the remainder.
+                remainder.on_end = lambda end: self._record_outcome(
+                    request, target, end, queueing_factor, took_s
+                )
             case Response(head) if head.status < 500:
                 session.outlier_detector.record_success(target.backend_id)
                 session.latency_estimates.record_response(
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -290,17 +290,27 @@
         if result.remainder is None:
             await connection.send_response(result.head.status, fields, result.body, close_after)
             return
-        await connection.start_response(
-            result.head.status, fields, result.head.content_length, close_after
-        )
+        assert isinstance(request, ClientRequest)
+        channel, task = connection.channel, asyncio.current_task()
+        assert task is not None
+        remaining_s = request.deadline_s - self._session.now_s
+        timeout = asyncio.timeout(None)
+        self._request_timeouts.add(timeout)
+        channel.on_disconnect = lambda: _cancel(task)
         try:
-            await connection.send_body_chunk(result.body)
-            while (chunk := await result.remainder.read_body_chunk()) is not None:
-                await connection.send_body_chunk(chunk)
-        except (InvalidResponseError, ConnectionError) as error:
+            await connection.start_response(
+                result.head.status, fields, result.head.content_length, close_after
+            )
+            async with timeout:
+                await result.remainder.pass_on(connection, result.body, remaining_s)
+        except (InvalidResponseError, TimeoutError) as error:
             # Abort, so that the client detects the truncated response.
-            connection.channel.abort()
-            raise ConnectionResetError(f"response truncated: {error}") from error
+            channel.abort()
+            raise ConnectionResetError(f"response truncated: {error or 'stop'}") from error
+        finally:
+            channel.on_disconnect = None
+            self._request_timeouts.discard(timeout)
+            result.remainder.close()
         await connection.finish_response()
 
     async def _refuse_malformed(self, connection: ServerConnection, error: BadRequestError) -> None:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from fuchsiawell.httpio import Exchange, ResponseHead
+    from fuchsiawell.gateway.execute.remainder import Remainder
+    from fuchsiawell.httpio import ResponseHead
 
 __all__ = ["NotExecuted", "Outcome", "OutcomeUnknown", "Response"]
 
@@ -17,7 +18,7 @@
 
     head: ResponseHead
     body: bytes
-    remainder: Exchange | None = None
+    remainder: Remainder | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/remainder.py
@@ -0,0 +1,104 @@
+"""Pass on the remainder of a long response while the server sends it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from fuchsiawell.gateway.execute.outcome import Outcome, OutcomeUnknown, Response
+from fuchsiawell.httpio import InvalidResponseError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiawell.httpio import ClientConnection, Exchange, ResponseHead, ServerConnection
+
+__all__ = ["Remainder"]
+
+# A response that has begun may end this much later than the deadline of its request.
+LATE_DELIVERY_S = 0.2
+# A client that takes less than this in all its time is slow: a response that it does not get whole
+# says nothing about the server.
+SLOW_CLIENT_BYTES = 1024 * 1024
+# Servers announce no longer bodies: one that does sends without end.
+MAX_ANNOUNCED_BYTES = 64 * 1024 * 1024
+
+
+class Remainder:
+    """What is left to read of a response; `pass_on` or `close` must be called.
+
+    `on_end` is called with the response when it is complete, and with the failure when the server
+    has not completed it. It is not called when the client left, was too slow, or was cut by a stop.
+    """
+
+    def __init__(
+        self,
+        head: ResponseHead,
+        exchange: Exchange,
+        connection: ClientConnection,
+        release: Callable[[], None],
+    ) -> None:
+        self._head = head
+        self._exchange = exchange
+        self._connection = connection
+        self._release = release
+        self._passed_bytes = 0
+        self._waits_for_server = False
+        self._closed = False
+        self.on_end: Callable[[Outcome], None] = _ignore
+
+    async def pass_on(self, client: ServerConnection, start: bytes, remaining_s: float) -> None:
+        """Send `start` and the remainder to the client within `remaining_s` and a little more.
+
+        Raises InvalidResponseError if the response does not end in time or is truncated,
+        ConnectionError if the client disconnects.
+        """
+        try:
+            async with asyncio.timeout(remaining_s + LATE_DELIVERY_S):
+                chunk: bytes | None = start
+                while chunk is not None:
+                    await client.send_body_chunk(chunk)
+                    self._passed_bytes += len(chunk)
+                    chunk = await self._read_chunk()
+        except TimeoutError as error:
+            reason = "no end of the response in time"
+            if self._server_failed:
+                self._fail(reason, timed_out=True)
+            raise InvalidResponseError(f"{self._connection.peer}: {reason}") from error
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Abort the connection to the server unless the response was complete."""
+        if not self._closed:
+            self._closed = True
+            self._connection.abort()
+
+    async def _read_chunk(self) -> bytes | None:
+        self._waits_for_server = True
+        try:
+            chunk = await self._exchange.read_body_chunk()
+        except (InvalidResponseError, ConnectionError) as error:
+            reason = str(error) or type(error).__name__
+            self._fail(reason, timed_out=False)
+            raise InvalidResponseError(f"{self._connection.peer}: {reason}") from error
+        self._waits_for_server = False
+        if chunk is None:
+            self._closed = True
+            self._release()
+            self.on_end(Response(self._head, b""))
+        return chunk
+
+    def _fail(self, reason: str, timed_out: bool) -> None:
+        self.on_end(OutcomeUnknown("answer", self._connection.peer, reason, timed_out))
+
+    @property
+    def _server_failed(self) -> bool:
+        """Whether the server, not the client, is why the response did not end in time."""
+        length = self._head.content_length
+        announced = length is not None and length <= MAX_ANNOUNCED_BYTES
+        return self._waits_for_server or (not announced and self._passed_bytes > SLOW_CLIENT_BYTES)
+
+
+def _ignore(_: Outcome) -> None:
+    """Take no notice of the end."""
