Check long responses like short ones before a part is passed on

What callers saw: a response of more than 256 KiB was passed on unchecked: a success without the server's signature (rule MIXED), and a 503, 429, 408 or 421 that promises that the request has not run though the server does not say so (rule REFUSED).

Cause: BackendClient._receive classified a response only when its body had ended within the buffer.

Evidence, on the code before: test_a_long_response_is_checked_like_a_short_one (endless body; virtual time): in all four cases 2,228,224 bytes of the response reached the client, which got 502, 502, 502 and 503 now.

Change: the head decides, as it did, but before the body is read. The body of a response that is not passed on is read for at most 0.1 s and 256 KiB, only to use its connection again; until now a refusal whose body had no end was awaited until the deadline.

After: the four cases pass.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -31,6 +31,8 @@
 # Responses up to this size are read completely before any part is sent to the client: if one is
 # truncated, the client can still get an error status, or the request another attempt.
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
+# Time to read the body of a response that is not passed on, so that its connection can be reused.
+DRAIN_TIMEOUT_S = 0.1
 # Bodies up to this size are sent before reading the response; longer ones concurrently with it.
 MAX_INLINE_BODY_BYTES = 16 * 1024
 
@@ -144,20 +146,28 @@
         self._limit_tracker.record_response(
             target.backend_id, target.incarnation_id, metadata, sent_s
         )
+        failure = _failure(target, head, metadata)
+        if failure is not None:
+            if await _drain(exchange):
+                self._return_connection(target, connection, exchange)
+            else:
+                connection.abort()
+            return failure
         buffered = bytearray()
         while len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES:
             chunk = await exchange.read_body_chunk()
             if chunk is None:
                 self._return_connection(target, connection, exchange)
-                return _classify(target, head, metadata, bytes(buffered))
+                return Response(head, bytes(buffered))
             buffered += chunk
         release = partial(self._return_connection, target, connection, exchange)
         return Response(head, bytes(buffered), Remainder(head, exchange, connection, release))
 
 
-def _classify(
-    target: Target, head: ResponseHead, metadata: ResponseMetadata, body: bytes
-) -> Outcome:
+def _failure(
+    target: Target, head: ResponseHead, metadata: ResponseMetadata
+) -> NotExecuted | OutcomeUnknown | None:
+    """Return the outcome of a response that must not be passed on, None for any other."""
     if metadata.not_executed:
         address_reassigned = (
             metadata.server_id is not None and metadata.server_id != target.backend_id
@@ -172,7 +182,22 @@
         return OutcomeUnknown(
             "answer", target.peer, f"status {head.status} without proof of no execution"
         )
-    return Response(head, body)
+    return None
+
+
+async def _drain(exchange: Exchange) -> bool:
+    """Read the body of a response that is not passed on; return whether its end has come."""
+    read_bytes = 0
+    try:
+        async with asyncio.timeout(DRAIN_TIMEOUT_S):
+            while read_bytes <= MAX_BUFFERED_RESPONSE_BYTES:
+                chunk = await exchange.read_body_chunk()
+                if chunk is None:
+                    return True
+                read_bytes += len(chunk)
+    except TimeoutError:
+        return False
+    return False
 
 
 async def _send_body(exchange: Exchange, body: RequestBody) -> None:
