Bound the responses that are skipped, and yield while reading many small parts

What callers saw: a server that sends interim responses, or responses to other requests, without end was read until the deadline; and while a receive buffer full of small parts is parsed (some 40,000 chunks of one byte in 256 KiB), no other connection, timer or datagram of the daemon gets a turn.

Cause: Exchange.read_response_head skips without a bound, and Channel.receive returns at once while its buffer holds bytes.

Evidence, on the code before: test_skipped_responses_without_end_raise_an_error: no end within 5 s for interim responses, for stray ones, and for the body of a stray one; test_reading_many_small_chunks_lets_other_tasks_run: another task got 0 turns while 10,000 chunks were read (at least 100 required).

Change: 32 skipped responses and 1 MiB of their bodies at most, then InvalidResponseError: 502, or another server. Every 64 parts the event loop gets a turn. All callers of Exchange (store, grants) have both.

Ruled out: field lines without end, trailers and chunk extensions without end (h11 stops at 64 KiB), a Content-Length of 5,000 digits (h11 0.16 refuses more than 20), chunk sizes of over 20 digits: each raised RemoteProtocolError when tried. test_a_head_without_end_gets_an_error_in_time (flood and trickle) passed before too, but for 8.75 s of work for the flood of strays.

--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import h11
@@ -16,6 +17,12 @@
 
 # Longest response head that is accepted; far above what servers send.
 MAX_HEAD_BYTES = 64 * 1024
+# Interim and stray responses that are skipped before the expected one, and bytes of the bodies of
+# the stray ones. A server that sends more does not respond.
+MAX_SKIPPED_RESPONSES = 32
+MAX_SKIPPED_BYTES = 1024 * 1024
+# Parts of a response that are read from received bytes before other tasks get a turn.
+EVENTS_PER_TURN = 64
 
 
 class InvalidResponseError(Exception):
@@ -68,6 +75,7 @@
         self._response_complete = False
         self._must_close = False
         self._stray_response_skipped = False
+        self._event_count = 0
         self._fields: Fields = list(head.fields)
         if first_value(head.fields, b"host") is None:
             # HTTP/1.1 requires the field; a client of HTTP/1.0 need not send it.
@@ -98,9 +106,11 @@
         """Return the first response head for which `is_expected` holds; skip other responses.
 
         A server may send a late response to an earlier request first. Raises InvalidResponseError
-        for malformed or incomplete responses, ConnectionError when the connection is lost.
+        for malformed or incomplete responses and for too many that are skipped, ConnectionError
+        when the connection is lost.
         """
-        while True:
+        skipped_bytes = 0
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -110,9 +120,12 @@
             if is_expected(head):
                 return head
             self._stray_response_skipped = True
-            while await self.read_body_chunk() is not None:
-                pass
+            while (chunk := await self.read_body_chunk()) is not None:
+                skipped_bytes += len(chunk)
+                if skipped_bytes > MAX_SKIPPED_BYTES:
+                    raise InvalidResponseError("body of another response without end")
             self._restart_reader()
+        raise InvalidResponseError("interim or other responses without end")
 
     async def read_body_chunk(self) -> bytes | None:
         """Return the next part of the response body, None at its end.
@@ -171,6 +184,9 @@
         )
 
     async def _next_event(self) -> object:
+        self._event_count += 1
+        if self._event_count % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._reader.next_event()
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -11,6 +11,7 @@
 from fuchsiawell.httpio import (
     Channel,
     ClientConnection,
+    Exchange,
     InvalidResponseError,
     RequestHead,
     ResponseHead,
@@ -145,6 +146,83 @@
         assert not exchange.reusable
 
 
+class NullTransport(asyncio.Transport):
+    """Drops what is written and is never closed."""
+
+    def write(self, data: object) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return default
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+def exchange_receiving(data: bytes) -> Exchange:
+    """Return an exchange whose connection has received `data` already."""
+    channel = Channel()
+    channel.connection_made(NullTransport())
+    exchange = ClientConnection(channel, "server").start(REQUEST_HEAD, 0)
+    channel.data_received(data)
+    return exchange
+
+
+INTERIM_RESPONSE = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+ENDLESS_STRAY = b"HTTP/1.1 200 OK\r\nrequest-id: another\r\ncontent-length: 1000000000\r\n\r\n"
+
+
+# Guards against responses that are skipped without a bound, until the deadline of the request.
+@pytest.mark.parametrize(
+    "data",
+    [
+        INTERIM_RESPONSE * 100,
+        response(b"earlier", b"stray") * 100,
+        ENDLESS_STRAY + b"x" * 2 * 1024 * 1024,
+    ],
+)
+async def test_skipped_responses_without_end_raise_an_error(data: bytes) -> None:
+    async with asyncio.timeout(5):
+        with pytest.raises(InvalidResponseError, match="without end"):
+            await exchange_receiving(data).read_response_head(is_expected)
+
+
+async def test_some_interim_and_stray_responses_are_skipped() -> None:
+    data = (INTERIM_RESPONSE + response(b"earlier", b"stray")) * 4 + response(b"mine", b"own")
+    exchange = exchange_receiving(data)
+    assert (await exchange.read_response_head(is_expected)).status == 200
+    assert await exchange.read_body_chunk() == b"own"
+
+
+# Guards against one connection that keeps the event loop from all others: a full receive buffer
+# holds tens of thousands of the smallest chunks.
+async def test_reading_many_small_chunks_lets_other_tasks_run() -> None:
+    chunk_count = 10_000
+    data = b"HTTP/1.1 200 OK\r\nrequest-id: mine\r\ntransfer-encoding: chunked\r\n\r\n"
+    exchange = exchange_receiving(data + b"1\r\nx\r\n" * chunk_count)
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    counter = asyncio.create_task(count_turns())
+    await exchange.read_response_head(is_expected)
+    for _ in range(chunk_count):
+        assert await exchange.read_body_chunk() == b"x"
+    counter.cancel()
+    # At least one turn of another task for 100 chunks, some 10 ms of work.
+    assert turns >= chunk_count // 100
+
+
 def test_hop_by_hop_fields_and_dropped_fields_are_not_forwarded() -> None:
     fields = [
         (b"connection", b"close, X-Private"),
