Count a server as busy until the end of a long response

What callers saw: from the first 256 KiB of a response on, its server counted as free again, so that a server with responses without end got requests as fast as they came, until the first deadline: at 80 requests/s and 3 s some 240 responses at once in the memory of one daemon (worked out).

Cause: Forwarder._attempt releases the placement when BackendClient.send returns, also with a remainder. The start of a response was held besides until its end.

Evidence, on the code before: test_a_long_response_occupies_its_server_until_its_end: 0 requests in flight at the server in the midst of its response, 1 expected.

Change: the placement is released at the end of the remainder, on all paths. The remainder holds the start and drops it when it is sent.

After: the test passes, and those of the forwarder and frontend.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -161,7 +161,8 @@
                 return Response(head, bytes(buffered))
             buffered += chunk
         release = partial(self._return_connection, target, connection, exchange)
-        return Response(head, bytes(buffered), Remainder(head, exchange, connection, release))
+        remainder = Remainder(head, bytes(buffered), exchange, connection, release)
+        return Response(head, b"", remainder)
 
 
 def _failure(
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -6,6 +6,7 @@
 import zlib
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.control.peer_messages import CrashReport, SuspicionCleared
@@ -273,8 +274,14 @@
                 request.deadline_s,
                 request.idempotent,
             )
+        except BaseException:
+            self._placement.release(target)
+            raise
         finally:
             del session.in_flight[attempt_id]
+        if isinstance(outcome, Response) and outcome.remainder is not None:
+            outcome.remainder.on_close = partial(self._placement.release, target)
+        else:
             self._placement.release(target)
         took_s = session.now_s - started_s
         session.metrics.observe("backend_time", took_s)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -302,7 +302,7 @@
                 result.head.status, fields, result.head.content_length, close_after
             )
             async with timeout:
-                await result.remainder.pass_on(connection, result.body, remaining_s)
+                await result.remainder.pass_on(connection, remaining_s)
         except (InvalidResponseError, TimeoutError) as error:
             # Abort, so that the client detects the truncated response.
             channel.abort()
--- a/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True)
 class Response:
-    """Response of the server: complete in `body`, or its start, with `remainder` left to read."""
+    """Response of the server: complete in `body`, or with `remainder` to pass on."""
 
     head: ResponseHead
     body: bytes
--- a/libs/gateway/src/fuchsiawell/gateway/execute/remainder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/remainder.py
@@ -1,4 +1,4 @@
-"""Pass on the remainder of a long response while the server sends it."""
+"""Pass on a long response while the server sends it."""
 
 from __future__ import annotations
 
@@ -25,37 +25,43 @@
 
 
 class Remainder:
-    """What is left to read of a response; `pass_on` or `close` must be called.
+    """What is left to pass on of a response; `pass_on` or `close` must be called.
 
     `on_end` is called with the response when it is complete, and with the failure when the server
     has not completed it. It is not called when the client left, was too slow, or was cut by a stop.
+    `on_close` is called at the end in all cases: the server no longer works on the request.
     """
 
     def __init__(
         self,
         head: ResponseHead,
+        start: bytes,
         exchange: Exchange,
         connection: ClientConnection,
         release: Callable[[], None],
     ) -> None:
         self._head = head
+        # What has been received before; dropped when it is passed on.
+        self._start: bytes | None = start
         self._exchange = exchange
         self._connection = connection
         self._release = release
         self._passed_bytes = 0
         self._waits_for_server = False
+        self._complete = False
         self._closed = False
         self.on_end: Callable[[Outcome], None] = _ignore
+        self.on_close: Callable[[], None] = _ignore
 
-    async def pass_on(self, client: ServerConnection, start: bytes, remaining_s: float) -> None:
-        """Send `start` and the remainder to the client within `remaining_s` and a little more.
+    async def pass_on(self, client: ServerConnection, remaining_s: float) -> None:
+        """Send the response's body to the client within `remaining_s` and a little more.
 
         Raises InvalidResponseError if the response does not end in time or is truncated,
         ConnectionError if the client disconnects.
         """
         try:
             async with asyncio.timeout(remaining_s + LATE_DELIVERY_S):
-                chunk: bytes | None = start
+                chunk, self._start = self._start, None
                 while chunk is not None:
                     await client.send_body_chunk(chunk)
                     self._passed_bytes += len(chunk)
@@ -70,9 +76,14 @@
 
     def close(self) -> None:
         """Abort the connection to the server unless the response was complete."""
-        if not self._closed:
-            self._closed = True
+        if self._closed:
+            return
+        self._closed = True
+        if self._complete:
+            self._release()
+        else:
             self._connection.abort()
+        self.on_close()
 
     async def _read_chunk(self) -> bytes | None:
         self._waits_for_server = True
@@ -84,8 +95,7 @@
             raise InvalidResponseError(f"{self._connection.peer}: {reason}") from error
         self._waits_for_server = False
         if chunk is None:
-            self._closed = True
-            self._release()
+            self._complete = True
             self.on_end(Response(self._head, b""))
         return chunk
 
@@ -100,5 +110,5 @@
         return self._waits_for_server or (not announced and self._passed_bytes > SLOW_CLIENT_BYTES)
 
 
-def _ignore(_: Outcome) -> None:
+def _ignore(*_: Outcome) -> None:
     """Take no notice of the end."""
