Let the test of a failing response use the real Remainder

The test now reads a real Remainder whose exchange raises the same KeyError; its checks stay, and it checks besides that the connection to the server is aborted.

--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -19,6 +19,7 @@
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.frontend import Frontend
 from fuchsiawell.gateway.execute.outcome import Response
+from fuchsiawell.gateway.execute.remainder import Remainder
 from fuchsiawell.gateway.session.state import Session
 from fuchsiawell.httpio import (
     Channel,
@@ -164,13 +165,23 @@
     assert harness.session.metrics.total("unanswered") == 1
 
 
-class FailingRemainder:
-    """The remainder of a response that cannot be read because of a fault of the daemon."""
+class FailingExchange:
+    """A response that cannot be read on because of a fault of the daemon."""
 
     async def read_body_chunk(self) -> bytes | None:
         raise KeyError("fault after the response head")
 
 
+class FakeServerConnection:
+    """A connection to a server; records that it is aborted."""
+
+    peer = "server"
+    aborted = False
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
 # Guards against connections that the daemon ends without a trace in its log: LOST in issue 26 could
 # not be told from a client that left. The client must not take the response for complete, not even
 # one without a length.
@@ -178,8 +189,11 @@
 async def test_request_whose_connection_the_daemon_ends_is_logged_with_its_step(
     version: bytes,
 ) -> None:
+    server: Any = FakeServerConnection()
+
     async def serve() -> Response:
-        return Response(ResponseHead(200, []), b"start", cast("Any", FailingRemainder()))
+        head, exchange = ResponseHead(200, []), cast("Any", FailingExchange())
+        return Response(head, b"", Remainder(head, b"start", exchange, server, lambda: None))
 
     harness = FrontendHarness(serve)
     received = b""
@@ -192,6 +206,7 @@
     unanswered = [line for line in lines if line["event"] == "request unanswered"]
     assert [(line["request"], line["step"]) for line in unanswered] == [("r-1", "send")]
     assert "KeyError" in unanswered[0]["how"]
+    assert server.aborted
     assert harness.session.metrics.total("unanswered") == 1
 
 
