Let servers of the soak send bytes without end

The fault goes on beside the others with its own random source, so that the faults of the seeds of old failures stay as they are.

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -75,12 +75,16 @@
             (b"shard-key", str(key).encode()),
         ]
         head = RequestHead(method.encode(), f"/{kind}/{key}".encode(), fields)
+        sent_s = asyncio.get_running_loop().time()
         try:
             result = await self._exchange(daemon, client, head, body_bytes, request_id, idempotent)
         except (OSError, InvalidResponseError):
             self._close_connection(client)
             result = RequestResult(request_id, idempotent, 0, None, False, b"")
         self._invariants.check_result(result)
+        late_s = asyncio.get_running_loop().time() - sent_s - REQUEST_DEADLINE_S
+        if late_s > 0:
+            self._invariants.overdue.append((daemon.name, sent_s + REQUEST_DEADLINE_S, late_s))
         return result
 
     async def _run_client(self, number: int, request_interval_s: float) -> None:
@@ -112,7 +116,7 @@
                 await exchange.send_body_chunk(b"x" * body_bytes)
             await exchange.finish_body()
             response = await exchange.read_response_head(lambda _: True)
-            body = b""
+            body = bytearray()
             while (chunk := await exchange.read_body_chunk()) is not None:
                 body += chunk
         if exchange.reusable:
@@ -126,7 +130,7 @@
             response.status,
             response_id.decode() if response_id else None,
             first_value(response.fields, b"response-signature") is not None,
-            body,
+            bytes(body),
         )
 
     def _close_connection(self, number: int) -> None:
--- a/libs/soak/src/fuchsiawell/soak/daemons.py
+++ b/libs/soak/src/fuchsiawell/soak/daemons.py
@@ -7,16 +7,13 @@
 import signal
 import sys
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 from fuchsiawell.adapter.settings_file import SETTINGS_PATH_VARIABLE
 from fuchsiawell.standins import free_ports
 
 from standins.documents import DaemonPorts, settings_document
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 __all__ = ["PROGRAM", "Daemon"]
 
 READY_TIMEOUT_S = 30.0
@@ -77,6 +74,13 @@
         """Wait until the process exits and return its exit status, 0 if it was never started."""
         return 0 if self._process is None else await self._process.wait()
 
+    def peak_memory_bytes(self) -> int:
+        """Return the most memory that the running process has used, 0 if there is none."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) * 1024 for line in lines if line.startswith("VmHWM:"))
+
     async def kill(self) -> None:
         """Kill the process, also if it is suspended, and wait until it exits."""
         self.send_signal(signal.SIGCONT)
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -6,6 +6,8 @@
 import signal
 from typing import TYPE_CHECKING
 
+from standins.endless_responses import EndlessSender, Form
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
@@ -19,6 +21,10 @@
 MIN_CANDIDATE_SERVERS = 3
 # Requests per second that limited servers take from all daemons.
 LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
+# What servers send without end; what is passed on to clients in part is chosen more often.
+ENDLESS_FORMS = (*Form, *(Form.CHUNKED, Form.LENGTH, Form.NO_LENGTH) * 3)
+# Time between the parts of a response without end.
+PART_INTERVAL_S = 0.05
 
 
 class Faults:
@@ -110,6 +116,19 @@
                 await asyncio.sleep(random.uniform(2.0, 6.0))
             server.name_limit(None)
 
+    async def send_without_end(self, random: Random) -> None:
+        """Make servers send bytes without end in place of responses for a while, until cancelled.
+
+        This goes on beside the other faults, also at servers that have one.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            server = random.choice(list(self._site.servers.values()))
+            form, status = random.choice(ENDLESS_FORMS), random.choice((200, 200, 503))
+            server.endless = EndlessSender(form, status, PART_INTERVAL_S)
+            await asyncio.sleep(random.uniform(1.0, 4.0))
+            server.endless = None
+
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
         candidates = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
--- a/libs/soak/src/fuchsiawell/soak/invariants.py
+++ b/libs/soak/src/fuchsiawell/soak/invariants.py
@@ -4,11 +4,20 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 __all__ = ["InvariantChecker", "RequestResult"]
 
 # Statuses with which a daemon guarantees that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# This many requests, and over a quarter of the overdue ones, must not end later than this after
+# their deadlines (rule CONFIG).
+MAX_LATE_S, MIN_LATE_COUNT = 0.5, 8
+# Memory of the smallest hosts.
+MAX_MEMORY_BYTES = 200_000_000
 
 
 @dataclass(frozen=True)
@@ -33,6 +42,8 @@
     violations: list[str] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     repeats: int = 0
+    # Requests that ended after their deadlines: daemon, deadline, how much later.
+    overdue: list[tuple[str, float, float]] = field(default_factory=list)
     _execution_counts: Counter[str] = field(default_factory=Counter)
     _non_idempotent_ids: set[str] = field(default_factory=set)
     _refused_ids: set[str] = field(default_factory=set)
@@ -106,6 +117,22 @@
         """Drop all assignments of a server incarnation that has ended."""
         self._assignments.pop(incarnation_id, None)
 
+    def check_overdue(self, excused: Callable[[str, float], bool]) -> None:
+        """Check that daemons end requests soon after their deadlines, while undisturbed."""
+        late_s = [late_s for name, due_s, late_s in self.overdue if not excused(name, due_s)]
+        too_late = [value for value in late_s if value > MAX_LATE_S]
+        if len(too_late) >= MIN_LATE_COUNT and len(too_late) > len(late_s) / 4:
+            self.violations.append(
+                f"{len(too_late)} of {len(late_s)} overdue requests had no end {MAX_LATE_S:g} s "
+                "after their deadlines"
+            )
+
+    def check_memory(self, peak_bytes_by_daemon: dict[str, int]) -> None:
+        """Check that each daemon fits the smallest hosts."""
+        for name, peak_bytes in peak_bytes_by_daemon.items():
+            if peak_bytes > MAX_MEMORY_BYTES:
+                self.violations.append(f"{name} used {peak_bytes >> 20} MiB of memory")
+
     def check_end(self) -> list[str]:
         """Check the executions after the last request and return all violations."""
         for request_id in sorted(self._non_idempotent_ids):
--- a/libs/soak/src/fuchsiawell/soak/limit_audit.py
+++ b/libs/soak/src/fuchsiawell/soak/limit_audit.py
@@ -63,7 +63,7 @@
         for incarnation_id, server in self._by_incarnation.items():
             window: deque[float] = deque()
             for at_s, daemon in server.arrivals:
-                if self._excused(daemon, at_s):
+                if self.excused(daemon, at_s):
                     continue
                 window.append(at_s)
                 while window[0] <= at_s - WINDOW_S:
@@ -77,7 +77,8 @@
                     break
         return found
 
-    def _excused(self, daemon: str, at_s: float) -> bool:
+    def excused(self, daemon: str, at_s: float) -> bool:
+        """Return whether a daemon was disturbed at a time or shortly before."""
         return any(
             name == daemon and start_s <= at_s <= end_s
             for name, start_s, end_s in self._disturbances
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -55,6 +55,7 @@
         load = asyncio.create_task(clients.run(options.clients, 0.02))
         faults = Faults(site)
         limits = asyncio.create_task(faults.limit_servers(Random(seed + 2)))
+        endless = asyncio.create_task(faults.send_without_end(Random(seed + 3)))
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
             await asyncio.sleep(options.fault_interval_s * random.uniform(0.2, 1.8))
@@ -63,12 +64,15 @@
             running.append(asyncio.ensure_future(fault(faults)))
         await asyncio.gather(*running)
         limits.cancel()
+        endless.cancel()
         site.clear_faults()
         await _check_recovery(site, clients)
         clients.stop()
         await load
+        site.invariants.check_memory({d.name: d.peak_memory_bytes() for d in site.daemons})
     finally:
         await site.stop()
+    site.invariants.check_overdue(site.limit_audit.excused)
     violations = (*site.invariants.check_end(), *site.limit_audit.violations())
     return Verdict(seed, violations, dict(site.invariants.statuses), tuple(fault_names))
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -154,6 +154,7 @@
             proxy.clear_faults()
         for server in self.servers.values():
             server.withhold_grant_responses = server.hang = server.close_delimited = False
+            server.endless = None
             server.requests_to_shed = server.responses_to_lose = server.responses_to_cut = (
                 server.extra_responses
             ) = 0
--- a/libs/soak/tests/test_invariants.py
+++ b/libs/soak/tests/test_invariants.py
@@ -94,3 +94,25 @@
     checker.check_grant("i-1/1", 0, 99, 5, 10.0, 0.0)
     checker.check_grant("i-2/1", 0, 99, 5, 30.0, 20.0)
     assert len(checker.check_end()) == 1
+
+
+def test_requests_that_last_too_long_after_their_deadlines_are_a_violation() -> None:
+    checker = checker_with_sent()
+    checker.overdue = [("d-1", 5.0, 0.6)] * 8 + [("d-2", 5.0, 0.1)] * 23
+    checker.check_overdue(lambda name, _: name == "d-3")
+    assert len(checker.check_end()) == 1
+
+
+def test_requests_at_disturbed_daemons_and_a_few_others_may_last_longer() -> None:
+    checker = checker_with_sent()
+    checker.overdue = [("d-1", 5.0, 0.6)] * 7 + [("d-3", 5.0, 0.6)] * 20
+    checker.check_overdue(lambda name, _: name == "d-3")
+    checker.overdue = [("d-1", 5.0, 0.6)] * 8 + [("d-2", 5.0, 0.1)] * 24
+    checker.check_overdue(lambda *_: False)
+    assert checker.check_end() == []
+
+
+def test_daemon_that_does_not_fit_its_host_is_a_violation() -> None:
+    checker = checker_with_sent()
+    checker.check_memory({"d-1": 199_000_000, "d-2": 201_000_000})
+    assert len(checker.check_end()) == 1
