Ignore Lamport times that no clock can have reached

Change: LamportClock.merge ignores times above 2^53, and decode_message accepts any of 64 bits: refusing the message would cut off its sender. Events of the two daemons are then merged by wall-clock time only; nothing else depends on the order.

--- a/libs/core/src/fuchsiawell/core/lamport.py
+++ b/libs/core/src/fuchsiawell/core/lamport.py
@@ -4,6 +4,9 @@
 
 __all__ = ["LamportClock"]
 
+# At a million events a second it takes 285 years to reach this.
+MAX_COUNT = 2**53
+
 
 class LamportClock:
     """Count events so that the sending of a message has a lower count than its receipt.
@@ -20,6 +23,9 @@
         return self._count
 
     def merge(self, received: int) -> int:
-        """Advance past the count received with a message, and return the new count."""
-        self._count = max(self._count, received) + 1
+        """Advance past the count received with a message, and return the new count.
+
+        A count that no clock can have reached is ignored: counts must stay within 64 bits.
+        """
+        self._count = max(self._count, received if received <= MAX_COUNT else 0) + 1
         return self._count
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -161,8 +161,9 @@
 )
 
 
-# Larger numbers are malformed: sums of them, and later Lamport times, must fit into 64 bits.
+# Larger numbers are malformed: sums of them must fit into 64 bits.
 MAX_NUMBER = 2**62
+MAX_LAMPORT_TIME = 2**64 - 1
 MAX_COUNT = MAX_SHORT_ID = 2**32 - 1
 MAX_PORT = 65535
 
@@ -207,7 +208,8 @@
     try:
         sender, lamport_time, kind, *body = msgpack.unpackb(data, strict_map_key=False)
         message = _decode_body(kind, body)
-        return _text(sender), _number(lamport_time), message
+        # The clock ignores times that are too large; refusing them here would cut off their sender.
+        return _text(sender), _number(lamport_time, MAX_LAMPORT_TIME), message
     except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise ValueError(f"malformed message: {error}") from error
 
