Log and count the rests that servers ask for

What the engineers saw: 28 of 91 order-status requests refused and no log line that says why the owners turn everything away: nothing read a server's Retry-After.

A 503 with Retry-After is decoded once in the adapter into ResponseMetadata.rest (the longest readable value, as each one is counted to its own end) or invalid_rest. Each is logged (server rest: seconds, until; server rest unreadable) within the bounds of the request log and counted (rests_named by server). Nothing heeds it yet. Only status 503 names a rest: with 429, 500 or 3xx the field concerns one request or one caller, not the server.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -16,6 +16,7 @@
 from fuchsiawell.gateway.control.maintenance import Maintenance
 from fuchsiawell.gateway.control.membership import Membership
 from fuchsiawell.gateway.control.peers import PeerMessenger
+from fuchsiawell.gateway.control.rest_tracker import RestTracker
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.execute.backend_client import BackendClient
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
@@ -81,7 +82,13 @@
         forwarder = Forwarder(
             session,
             protocol,
-            BackendClient(self._pool, protocol, session.clock, self._rate_limiting.tracker),
+            BackendClient(
+                self._pool,
+                protocol,
+                session.clock,
+                self._rate_limiting.tracker,
+                RestTracker(session),
+            ),
             Placement(session, self._rate_limiting.permits),
             self._peers,
         )
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from fuchsiawell.core import Clock
     from fuchsiawell.gateway.control.limit_tracker import LimitTracker
+    from fuchsiawell.gateway.control.rest_tracker import RestTracker
     from fuchsiawell.gateway.execute.body import RequestBody
     from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
     from fuchsiawell.gateway.ports import BackendProtocol, ResponseMetadata
@@ -63,11 +64,13 @@
         protocol: BackendProtocol,
         clock: Clock,
         limit_tracker: LimitTracker,
+        rest_tracker: RestTracker,
     ) -> None:
         self._pool = pool
         self._protocol = protocol
         self._clock = clock
         self._limit_tracker = limit_tracker
+        self._rest_tracker = rest_tracker
 
     async def send(
         self,
@@ -146,6 +149,7 @@
         self._limit_tracker.record_response(
             target.backend_id, target.incarnation_id, metadata, sent_s
         )
+        self._rest_tracker.record_response(target.backend_id, target.incarnation_id, metadata)
         failure = _failure(target, head, metadata)
         if failure is not None:
             if await _drain(exchange):
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -173,6 +173,10 @@
     rate_limit_per_s: float | None = None
     # A limit that cannot be read; None when there is none.
     invalid_rate_limit: str | None = None
+    # For how long the server wants nothing more from this daemon; None: it names no rest.
+    rest: timedelta | None = None
+    # A rest that cannot be read; None when there is none.
+    invalid_rest: str | None = None
 
 
 @dataclass(frozen=True)
