Send a server nothing in the rest that it asked this daemon for

Cause: nothing read a server's Retry-After. A 503 counted as a full server: the request was tried again, at the same owner as no other may run it, and the next went there as before. For servers without keys outlier ejection hid that.

Ruled out: only requests under way when the rest began (requests sent a second later arrive). Found beside it: a request placed before the rest was sent when its new connection opened in it.

Change: ServerRests keeps rests by server incarnation, each to its own end, so that the longest holds. Placement heeds them for every request, again after a wait for a permit, and BackendClient when a connection has opened. Others get the requests; where none may, they wait only if they can be on time, else they are refused at once with the time until the first rest ends, spread. After a rest one request at a time until one is answered. A 503 that names a rest does not count towards an ejection. Grants, renewals and releases go on, as ownership must not lapse. A rest counts as an hour at most.

Why it works: every request passes Placement, there is no await between its last look and the send but the opening of a connection, and the daemon's rest ends later than the server's, as it runs from the arrival of the response.

test_forwarder.py: its stand-in of Placement gets the method that the forwarder now calls; it checks as much as before.

--- a/libs/balance/src/fuchsiawell/balance/__init__.py
+++ b/libs/balance/src/fuchsiawell/balance/__init__.py
@@ -24,9 +24,11 @@
 from fuchsiawell.balance.rate_limits import RateLimit, RateLimits
 from fuchsiawell.balance.rendezvous import rendezvous_order
 from fuchsiawell.balance.retry_budget import RetryBudget, RetryRules
+from fuchsiawell.balance.server_rests import MAX_REST_S, ServerRests
 
 __all__ = [
     "HUBS_PER_GROUP",
+    "MAX_REST_S",
     "MIN_RATE_PER_S",
     "AdmissionQueue",
     "BackendSelector",
@@ -45,6 +47,7 @@
     "RateLimits",
     "RetryBudget",
     "RetryRules",
+    "ServerRests",
     "expected_latency_s",
     "free_capacity",
     "group_daemons",
--- a/libs/gateway/src/fuchsiawell/gateway/control/rest_tracker.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/rest_tracker.py
@@ -11,8 +11,15 @@
 __all__ = ["RestTracker"]
 
 
+# Part of a rest by which it is prolonged at random, and the most, so that the daemons do not all
+# return at the time that a server has named to each of them.
+MAX_SPREAD_FRACTION, MAX_SPREAD_S = 0.05, 0.25
+# Responses that move the end of a rest by less add nothing: they came close to each other.
+MIN_CHANGE_S = 0.1
+
+
 class RestTracker:
-    """Log and count the responses in which servers name a rest."""
+    """Record the rests that servers name in their responses to this daemon, and only to it."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
@@ -31,10 +38,26 @@
         if metadata.rest is None:
             return
         session.metrics.count("rests_named", backend_id)
+        rest_s = metadata.rest.total_seconds()
+        spread_s = session.random.uniform(0.0, min(MAX_SPREAD_S, MAX_SPREAD_FRACTION * rest_s))
+        extended_s = session.server_rests.record_named(
+            backend_id, incarnation_id, rest_s + spread_s, session.now_s
+        )
+        if extended_s < MIN_CHANGE_S:
+            return
         session.request_log.write(
             "server rest",
             server=backend_id,
             incarnation=incarnation_id,
-            seconds=metadata.rest.total_seconds(),
+            seconds=rest_s,
             until=(session.clock.now() + metadata.rest).isoformat(timespec="milliseconds"),
         )
+        # Requests that wait for this server are refused at once, or sent to another.
+        backend = session.directory.by_id.get(backend_id)
+        if backend is not None:
+            session.wake(backend.service)
+
+    def is_resting(self, incarnation_id: str) -> bool:
+        """Return whether a server wants nothing from this daemon now."""
+        session = self._session
+        return session.server_rests.remaining_s(incarnation_id, session.now_s) > 0.0
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
 from typing import TYPE_CHECKING
@@ -48,6 +48,8 @@
     port: int
     # Fencing token of the assignment of the request's key, 0 if the service is not sharded.
     fence: int = 0
+    # Whether this is the single request that a server gets after a rest.
+    trial: bool = field(default=False, compare=False)
 
     @property
     def peer(self) -> str:
@@ -95,6 +97,10 @@
             return NotExecuted(
                 "connect", target.peer, str(error) or "timed out", overloaded=overloaded
             )
+        if self._rest_tracker.is_resting(target.incarnation_id):
+            # The server has named the rest while the connection was being opened.
+            self._pool.release(target.incarnation_id, connection)
+            return NotExecuted("rest", target.peer, "server rests", server_rests=True)
         remaining = timedelta(seconds=deadline_s - self._clock.monotonic())
         fields = self._protocol.forwarded_fields(head.fields, remaining, target.backend_id)
         length_bytes = len(body.buffered) if body.fully_buffered else body.length_bytes
@@ -173,19 +179,28 @@
     target: Target, head: ResponseHead, metadata: ResponseMetadata
 ) -> NotExecuted | OutcomeUnknown | None:
     """Return the outcome of a response that must not be passed on, None for any other."""
+    server_rests = metadata.rest is not None and metadata.rest > timedelta(0)
     if metadata.not_executed:
         address_reassigned = (
             metadata.server_id is not None and metadata.server_id != target.backend_id
         )
         return NotExecuted(
-            "answer", target.peer, f"status {head.status}", metadata.misdirected, address_reassigned
+            "answer",
+            target.peer,
+            f"status {head.status}",
+            metadata.misdirected,
+            address_reassigned,
+            server_rests=server_rests,
         )
     if head.status < 400 and not metadata.signed:
         return OutcomeUnknown("answer", target.peer, f"status {head.status} without signature")
     if head.status in (408, 421, 429, 503):
         # These statuses mean that nothing was executed, which this response does not confirm.
         return OutcomeUnknown(
-            "answer", target.peer, f"status {head.status} without proof of no execution"
+            "answer",
+            target.peer,
+            f"status {head.status} without proof of no execution",
+            server_rests=server_rests,
         )
     return None
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -166,7 +166,7 @@
                 self._log(
                     "no retry", request, why="retry budget", tries=len(request.attempted_backends)
                 )
-                return error_response or self._final_refusal(outcome, request.maybe_executed)
+                return error_response or self._final_refusal(request, outcome)
             request.attempted_backends.append(target.backend_id)
             maybe_executed_before, request.maybe_executed = request.maybe_executed, True
             outcome = await self._attempt(request, target)
@@ -201,7 +201,7 @@
                 maybe_ran=isinstance(outcome, OutcomeUnknown),
             )
             if not self._may_retry(request, outcome):
-                return error_response or self._final_refusal(outcome, request.maybe_executed)
+                return error_response or self._final_refusal(request, outcome)
             if isinstance(outcome, NotExecuted) and outcome.misdirected:
                 # The grant to the new owner may still be in transit.
                 request.refusals_by_fence[target.fence] += 1
@@ -234,15 +234,15 @@
             * self._session.latency_estimates.service_time_s(request.route.name)
         )
 
-    def _final_refusal(self, outcome: Outcome | None, maybe_executed: bool) -> Refusal:
+    def _final_refusal(self, request: ClientRequest, outcome: Outcome | None) -> Refusal:
         """Return the refusal after the last attempt, 503 only if no attempt was executed."""
         match outcome:
             case OutcomeUnknown(timed_out=True):
                 return timed_out(outcome.reason)
-            case OutcomeUnknown() | NotExecuted() if maybe_executed:
+            case OutcomeUnknown() | NotExecuted() if request.maybe_executed:
                 return bad_gateway(outcome.reason)
             case NotExecuted():
-                return not_executed(outcome.reason, self._placement.retry_after_s())
+                return not_executed(outcome.reason, self._placement.retry_after_for(request))
             case _:
                 return bad_gateway("no response")
 
@@ -297,7 +297,13 @@
         took_s: float,
     ) -> None:
         session = self._session
+        if target.trial and isinstance(outcome, Response):
+            session.server_rests.record_answered(target.incarnation_id, session.now_s)
+            session.wake_for_free_slots()
         match outcome:
+            case NotExecuted(server_rests=True) | OutcomeUnknown(server_rests=True):
+                # The rest takes the place of an ejection.
+                return
             case Response(remainder=remainder) if remainder is not None:
                 # Whether the server has responded is known at the end of the remainder.
                 remainder.on_end = lambda end: self._record_outcome(
--- a/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
@@ -34,6 +34,8 @@
     address_reassigned: bool = False
     # The server reset the connection while it was opened, as overloaded servers do.
     overloaded: bool = False
+    # The server wants nothing from this daemon for some time.
+    server_rests: bool = False
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,8 @@
     peer: str
     reason: str
     timed_out: bool = False
+    # The server wants nothing from this daemon for some time.
+    server_rests: bool = False
 
 
 Outcome = Response | NotExecuted | OutcomeUnknown
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from fuchsiawell.balance import free_capacity
@@ -29,8 +30,8 @@
 LATE_PERMIT_WAIT_S = 0.2
 # At how many servers a request asks for a permit before it is refused.
 MAX_PERMIT_REQUESTS = 3
-# Bound of the retry-after time of a request that the limits of servers do not let through.
-MAX_LIMIT_RETRY_AFTER_S = 10.0
+# Bound of the retry-after time of a request that the limits or rests of servers do not let through.
+MAX_KNOWN_RETRY_AFTER_S = 10.0
 # A request is refused when less than this part of its usual service time is left.
 MIN_TIME_LEFT_FRACTION = 0.9
 
@@ -61,6 +62,8 @@
                         continue
                 if isinstance(result, Target):
                     session.in_flight_counts.started(result.backend_id)
+                    if session.server_rests.start(result.incarnation_id, session.now_s):
+                        result = replace(result, trial=True)
                     self._queue(request).record_admission(session.now_s, waited_since_s)
                     return result
                 refusal = self._early_refusal(request, result, started_s)
@@ -90,6 +93,8 @@
     def release(self, target: Target) -> None:
         """Release a slot and wake queued requests."""
         self._session.in_flight_counts.finished(target.backend_id)
+        if target.trial:
+            self._session.server_rests.finish_trial(target.incarnation_id)
         self._session.wake_for_free_slots()
 
     def retry_after_s(self, expected_wait_s: float = 0.0) -> float:
@@ -97,13 +102,21 @@
         base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_wait_s))
         return base_s * self._session.random.uniform(0.8, 1.4)
 
+    def retry_after_for(self, request: ClientRequest) -> float:
+        """Return the retry-after time of a request, with jitter, after its last attempt."""
+        rest_s = self._rest_s(request)
+        return self._retry_after_wait_s(rest_s) if rest_s > 0.0 else self.retry_after_s()
+
     def _find_target(self, request: ClientRequest, was_queued: bool) -> Target | str:
         """Return a server with a free slot, or the reason why there is none."""
         if request.key is not None and self._is_sharded(request.service):
             return self._find_owner(request, request.key, was_queued)
-        backends = self._session.directory.preferred(request.service)
-        if not backends:
+        preferred = self._session.directory.preferred(request.service)
+        if not preferred:
             return "no servers"
+        backends = [backend for backend in preferred if self._admits(_target_of(backend))]
+        if not backends:
+            return "server rests"
         limited = self._limited(backends)
         all_limited = len(limited) == len(backends)
         if (
@@ -112,11 +125,8 @@
             and len(self._session.admission_queue(request.service))
         ):
             return "no free slot"
-        avoid = (
-            set(request.attempted_backends)
-            if len(set(request.attempted_backends)) < len(backends)
-            else set()
-        )
+        attempted = {backend.id for backend in backends} & set(request.attempted_backends)
+        avoid = attempted if len(attempted) < len(backends) else set()
         # A limited server is worth a wait for a permit only when no other has free capacity.
         for max_wait_s in (0.0, self._max_permit_wait_s(request)) if limited else (0.0,):
             waiting = {b for b in limited if self._permit_wait_s(b, request) > max_wait_s}
@@ -147,6 +157,8 @@
         backend = session.directory.by_id.get(owner.backend_id)
         if backend is not None and backend.incarnation > owner.incarnation:
             return "owner restarted"
+        if not session.server_rests.admits(owner.incarnation_id, session.now_s):
+            return "server rests"
         own_count = session.in_flight_counts.own_count(owner.backend_id)
         if not session.outlier_detector.admits_owner(owner.backend_id, own_count, session.now_s):
             return "owner unreachable"
@@ -170,6 +182,7 @@
             backend.id != target.backend_id
             and free_capacity(backend, self._session.in_flight_counts.total(backend.id)) > 0
             and self._permit_wait_s(backend.id, request) == 0.0
+            and self._admits(_target_of(backend))
             for backend in self._session.directory.preferred(request.service)
         )
         wait_s = await self._permits.acquire(
@@ -182,6 +195,8 @@
     def _is_current(self, request: ClientRequest, target: Target) -> bool:
         """Return whether a target may still get the request after a wait."""
         session = self._session
+        if not self._admits(target):
+            return False
         if target.fence:
             assert request.key is not None
             assignment = session.assignment(request.service, request.key)
@@ -194,6 +209,24 @@
         backend = session.directory.by_id.get(target.backend_id)
         return backend is not None and not backend.draining and _target_of(backend) == target
 
+    def _admits(self, target: Target) -> bool:
+        """Return whether a server does not rest, nor gets its first request after a rest."""
+        session = self._session
+        return session.server_rests.admits(target.incarnation_id, session.now_s)
+
+    def _rest_s(self, request: ClientRequest) -> float:
+        """Return the time until a server that may get the request no longer rests."""
+        session = self._session
+        if request.key is not None and self._is_sharded(request.service):
+            assignment = session.assignment(request.service, request.key)
+            owner = assignment.owner if assignment is not None else None
+            ids = [] if owner is None else [owner.incarnation_id]
+        else:
+            backends = session.directory.preferred(request.service)
+            ids = [_target_of(backend).incarnation_id for backend in backends]
+        rests_s = (session.server_rests.remaining_s(i, session.now_s) for i in ids)
+        return min(rests_s, default=0.0)
+
     def _is_limited(self, target: Target) -> bool:
         limits = self._session.rate_limits
         return limits.rate_per_s(target.backend_id, target.incarnation_id) is not None
@@ -230,12 +263,16 @@
         else:
             ids = [backend.id for backend in session.directory.preferred(request.service)]
         wait_s = min((self._permit_wait_s(i, request) for i in ids), default=0.0)
-        base_s = min(MAX_LIMIT_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         return not_executed(
             f"server limit: the next permit is expected in {wait_s:.3f} s",
-            base_s * session.random.uniform(1.0, 1.4),
+            self._retry_after_wait_s(wait_s),
         )
 
+    def _retry_after_wait_s(self, wait_s: float) -> float:
+        """Return the retry-after time after a known wait; clients return one after the other."""
+        base_s = min(MAX_KNOWN_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return base_s * self._session.random.uniform(1.0, 1.4)
+
     def _early_refusal(
         self, request: ClientRequest, reason: str, started_s: float
     ) -> Refusal | None:
@@ -243,6 +280,10 @@
         session = self._session
         now_s = session.now_s
         latest_start_s = self._latest_start_s(request)
+        on_time_s = self._latest_on_time_start_s(request) - now_s
+        rest_s = self._rest_s(request) if reason == "server rests" else 0.0
+        if rest_s > max(0.0, on_time_s):
+            return not_executed(f"{reason}: {rest_s:.3f} s left", self._retry_after_wait_s(rest_s))
         if now_s >= latest_start_s:
             return not_executed(
                 f"{reason}: not enough time before the deadline", self.retry_after_s()
@@ -253,7 +294,7 @@
             case "server limit":
                 return self._limit_refusal(request)
             case "no free slot":
-                is_late = now_s > self._latest_on_time_start_s(request)
+                is_late = on_time_s < 0.0
                 expected_wait_s = self._queue(request).expected_wait_s(
                     request.route.priority, now_s, is_late
                 )
@@ -263,6 +304,9 @@
                         self.retry_after_s(expected_wait_s),
                     )
                 return None
+            case "server rests" if on_time_s > 0.0:
+                # It waits for the end of the rest, or for the first request after it.
+                return None
             case _:
                 if now_s - started_s > OWNER_WAIT_S:
                     return not_executed(reason, self.retry_after_s(MAX_RETRY_AFTER_S))
@@ -270,7 +314,9 @@
 
     async def _wait(self, request: ClientRequest, reason: str, woken: asyncio.Event) -> None:
         timeout_s = self._latest_start_s(request) - self._session.now_s
-        if reason != "no free slot":
+        if reason == "server rests":
+            timeout_s = min(timeout_s, self._rest_s(request) or OWNER_WAIT_S)
+        elif reason != "no free slot":
             timeout_s = min(timeout_s, OWNER_WAIT_S)
         try:
             async with asyncio.timeout(max(0.001, timeout_s)):
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -15,6 +15,7 @@
     PoisonRequestDetector,
     RateLimits,
     RetryBudget,
+    ServerRests,
     free_capacity,
 )
 from fuchsiawell.gateway.session.metrics import Metrics
@@ -114,6 +115,7 @@
         self.in_flight_counts = InFlightCounts()
         self.rate_limits = RateLimits()
         self.permit_waits = PermitWaits()
+        self.server_rests = ServerRests()
         self.poison_detector = PoisonRequestDetector()
         self.traffic_splitter = TrafficSplitter(random)
         self.retry_budget = RetryBudget(settings.retries)
@@ -197,7 +199,11 @@
                 backend = self.directory.by_id.get(backend_id)
                 backends = [] if backend is None else [backend]
             free_slots = sum(
-                max(0, free_capacity(b, self.in_flight_counts.total(b.id)))
+                self.server_rests.free_capacity(
+                    f"{b.id}/{b.incarnation}",
+                    self.now_s,
+                    max(0, free_capacity(b, self.in_flight_counts.total(b.id))),
+                )
                 for b in backends
                 if not self.permit_waits.is_waiting(b.id, self.now_s)
             )
@@ -242,10 +248,11 @@
             self.log.event("backend missing", server=backend_id, why="store was in trouble")
 
     def discard_backend_history(self, backend_id: str) -> None:
-        """Discard latency, failures and rate limit of an earlier incarnation."""
+        """Discard latency, failures, rate limit and rest of an earlier incarnation."""
         self.latency_estimates.forget(backend_id)
         self.outlier_detector.forget(backend_id)
         self.rate_limits.forget(backend_id)
+        self.server_rests.forget(backend_id)
         self.permit_waits.forget(backend_id)
 
     def owner_accepts_requests(self, backend_id: str) -> bool:
--- a/libs/gateway/tests/test_forwarder.py
+++ b/libs/gateway/tests/test_forwarder.py
@@ -39,7 +39,7 @@
     def release(self, target: Target) -> None:
         return
 
-    def retry_after_s(self) -> float:
+    def retry_after_for(self, request: ClientRequest) -> float:
         return 0.5
 
 
--- a/libs/gateway/tests/test_placement.py
+++ b/libs/gateway/tests/test_placement.py
@@ -190,6 +190,86 @@
     assert len(harness.permits.asked) == 1
 
 
+def rest(harness: PlacementHarness, seconds: float, *backend_ids: str) -> None:
+    rests, now_s = harness.session.server_rests, harness.session.now_s
+    for backend_id in backend_ids:
+        rests.record_named(backend_id, f"{backend_id}/1", seconds, now_s)
+
+
+# Guards against requests to a server in the rest that it asked for (issue 26).
+async def test_request_goes_to_another_server_while_one_rests() -> None:
+    harness = PlacementHarness()
+    rest(harness, 3.0, "i-0")
+    targets = [await harness.placement.place(harness.request()) for _ in range(4)]
+    assert {target.backend_id for target in targets} == {"i-1"}
+
+
+async def test_request_is_refused_until_the_first_rest_ends_when_all_servers_rest() -> None:
+    harness = PlacementHarness()
+    rest(harness, 3.0, "i-0")
+    rest(harness, 2.0, "i-1")
+    refusal = await harness.placement.place(harness.request())
+    assert isinstance(refusal, Refusal)
+    assert refusal.status == 503
+    assert refusal.retry_after is not None
+    assert 2.0 <= refusal.retry_after.total_seconds() <= 2.0 * 1.4
+
+
+async def test_request_waits_for_the_end_of_a_rest_that_leaves_it_on_time() -> None:
+    harness = PlacementHarness(sharded=True)
+    rest(harness, 0.05, "i-0", "i-1")
+    waiting = asyncio.create_task(harness.placement.place(harness.request(0)))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    harness.clock.advance(0.06)
+    harness.session.wake()
+    target = await waiting
+    assert target.trial
+
+
+# Guards against a crowd at the end of a rest, and a server that stays cut off after its answer.
+async def test_one_request_at_a_time_is_sent_after_a_rest_until_one_is_answered() -> None:
+    harness = PlacementHarness(sharded=True)
+    rests = harness.session.server_rests
+    rest(harness, 1.0, "i-0", "i-1")
+    harness.clock.advance(1.1)
+    target = await harness.placement.place(harness.request(0))
+    assert target.trial
+    waiting = [asyncio.create_task(harness.placement.place(harness.request(0))) for _ in range(3)]
+    await asyncio.sleep(0)
+    assert not any(task.done() for task in waiting)
+    harness.placement.release(target)
+    rests.record_answered(target.incarnation_id, harness.session.now_s)
+    harness.session.wake_for_free_slots()
+    assert not any(placed.trial for placed in await asyncio.gather(*waiting))
+
+
+# Guards against a permit that arrives after the server has asked for a rest.
+async def test_server_that_names_a_rest_during_the_wait_for_a_permit_gets_nothing() -> None:
+    harness = PlacementHarness(sharded=True)
+    owner = harness.session.assignment("s", 0).owner.backend_id
+    harness.limit(owner)
+
+    async def rest_and_grant(*_: object) -> float:
+        rest(harness, 3.0, owner)
+        return 0.0
+
+    harness.permits.acquire = rest_and_grant
+    refusal = await harness.placement.place(harness.request(0))
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason.startswith("server rests")
+
+
+# Guards against an attempted server that is tried again while the only other one rests.
+async def test_retry_prefers_a_server_that_was_not_tried_over_one_that_was() -> None:
+    harness = PlacementHarness(servers=3)
+    rest(harness, 3.0, "i-0")
+    request = harness.request()
+    request.attempted_backends = ["i-0", "i-1"]
+    target = await harness.placement.place(request)
+    assert target.backend_id == "i-2"
+
+
 # Guards against a permit for the former owner of a key that moved while the request waited for it.
 async def test_key_that_moves_during_the_wait_for_a_permit_is_sent_to_its_new_owner() -> None:
     harness = PlacementHarness(sharded=True)
--- a/libs/gateway/tests/test_rest_tracker.py
+++ b/libs/gateway/tests/test_rest_tracker.py
@@ -8,7 +8,7 @@
 from fuchsiawell.gateway.control.rest_tracker import RestTracker
 from fuchsiawell.gateway.ports import ResponseMetadata
 
-from builders import log_events, session
+from builders import backend, log_events, session
 
 
 def shed(
@@ -40,6 +40,42 @@
     assert observed.metrics.total("rests_named") == 5000
 
 
+# Guards against a line for each of the responses that turn away what was under way together.
+def test_responses_that_hardly_prolong_a_rest_are_not_logged() -> None:
+    clock = ManualClock(1000.0)
+    observed = session(clock)
+    tracker = RestTracker(observed)
+    for _ in range(5):
+        tracker.record_response("i-1", "i-1/1", shed(0.5))
+        clock.advance(0.01)
+    assert len(log_events(observed, "server rest")) == 1
+    clock.advance(0.4)
+    tracker.record_response("i-1", "i-1/1", shed(0.5))
+    assert len(log_events(observed, "server rest")) == 2
+
+
+def test_server_rests_from_the_response_until_the_end_that_it_named() -> None:
+    clock = ManualClock(1000.0)
+    observed = session(clock)
+    tracker = RestTracker(observed)
+    tracker.record_response("i-1", "i-1/1", shed(3.0))
+    assert not tracker.is_resting("i-1/2")
+    clock.advance(2.99)
+    assert tracker.is_resting("i-1/1")
+    clock.advance(0.01 + 0.05 * 3.0)
+    assert not tracker.is_resting("i-1/1")
+
+
+# Guards against requests that stay in a queue for a server that has just asked for a rest.
+async def test_queued_requests_are_woken_when_a_rest_begins() -> None:
+    observed = session(ManualClock(1000.0))
+    observed.update_backend(backend("i-1"))
+    woken: list[str] = []
+    observed.admission_queue("s", "i-1").enqueue(0, 1002.0, 1001.0, lambda: woken.append("q"))
+    RestTracker(observed).record_response("i-1", "i-1/1", shed(3.0))
+    assert woken == ["q"]
+
+
 def test_unreadable_rest_is_logged() -> None:
     observed = session(ManualClock(1000.0))
     RestTracker(observed).record_response("i-1", "i-1/1", shed(None, "soon" * 100))
