Let the soak probe the daemon that it means

After the faults the soak probes each daemon for each region of keys. All probes share one kept connection, which may lead to another daemon: that one answered for it, and the audits counted the request for the daemon that was meant.

test_clients.py failed before: [4, 0] requests at the two daemons instead of [2, 2]. The check of the recovery becomes stricter, as each daemon is now asked itself.

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -107,8 +107,10 @@
         idempotent: bool,
     ) -> RequestResult:
         async with asyncio.timeout(REQUEST_DEADLINE_S + 2.0):
-            connected = self.connections.pop(client, None)
-            connection = connected[1] if connected else None
+            kept_to, connection = self.connections.pop(client, (None, None))
+            if connection is not None and kept_to is not daemon:
+                connection.close()
+                connection = None
             if connection is None or not connection.usable:
                 connection = await connect("127.0.0.1", daemon.client_port, 1.0)
             exchange = connection.start(head, body_bytes)
