Tell clients the time of the next permit while other servers rest

A resting server has no wait for a permit, so that a request refused for the limits of the others was told to return within 0.2 s. Only servers that may get requests count. test_refusal_for_limits_tells_the_next_permit_while_other_servers_rest failed before: 'the next permit is expected in 0.000 s'.

Placement also looks at the rests of each server only while any are known.

--- a/libs/balance/src/fuchsiawell/balance/server_rests.py
+++ b/libs/balance/src/fuchsiawell/balance/server_rests.py
@@ -34,6 +34,10 @@
     def __init__(self) -> None:
         self._by_incarnation: dict[str, _Rest] = {}
 
+    def __len__(self) -> int:
+        """Return the number of servers that rest, or have not answered a request since."""
+        return len(self._by_incarnation)
+
     def record_named(
         self, backend_id: str, incarnation_id: str, rest_s: float, now_s: float
     ) -> float:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
@@ -114,7 +114,7 @@
         preferred = self._session.directory.preferred(request.service)
         if not preferred:
             return "no servers"
-        backends = [backend for backend in preferred if self._admits(_target_of(backend))]
+        backends = self._admitted(preferred)
         if not backends:
             return "server rests"
         limited = self._limited(backends)
@@ -214,6 +214,12 @@
         session = self._session
         return session.server_rests.admits(target.incarnation_id, session.now_s)
 
+    def _admitted(self, backends: list[Backend]) -> list[Backend]:
+        """Return the servers that do not rest, nor get their first request after a rest."""
+        if not len(self._session.server_rests):
+            return backends
+        return [backend for backend in backends if self._admits(_target_of(backend))]
+
     def _rest_s(self, request: ClientRequest) -> float:
         """Return the time until a server that may get the request no longer rests."""
         session = self._session
@@ -261,7 +267,8 @@
             owner = assignment.owner if assignment is not None else None
             ids = [] if owner is None else [owner.backend_id]
         else:
-            ids = [backend.id for backend in session.directory.preferred(request.service)]
+            backends = self._admitted(session.directory.preferred(request.service))
+            ids = [backend.id for backend in backends]
         wait_s = min((self._permit_wait_s(i, request) for i in ids), default=0.0)
         return not_executed(
             f"server limit: the next permit is expected in {wait_s:.3f} s",
--- a/libs/gateway/tests/test_placement.py
+++ b/libs/gateway/tests/test_placement.py
@@ -215,6 +215,18 @@
     assert 2.0 <= refusal.retry_after.total_seconds() <= 2.0 * 1.4
 
 
+# Guards against a time to return that a resting server without a limit makes too short.
+async def test_refusal_for_limits_tells_the_next_permit_while_other_servers_rest() -> None:
+    harness = PlacementHarness()
+    rest(harness, 5.0, "i-0")
+    harness.limit("i-1")
+    harness.permits.waits_s = [3.0]
+    refusal = await harness.placement.place(harness.request())
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after is not None
+    assert refusal.retry_after.total_seconds() >= 3.0
+
+
 async def test_request_waits_for_the_end_of_a_rest_that_leaves_it_on_time() -> None:
     harness = PlacementHarness(sharded=True)
     rest(harness, 0.05, "i-0", "i-1")
