Let servers of the soak rest, and walk from a refusal to the rest behind it

The soak's servers turn everything away and ask for rests of 0.2 to 5 s beside the other faults; RestAudit counts what reaches them.

server rest logs as its end the time until which this daemon sends nothing.

--- a/libs/gateway/src/fuchsiawell/gateway/control/rest_tracker.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/rest_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -45,12 +46,15 @@
         )
         if extended_s < MIN_CHANGE_S:
             return
+        left_s = session.server_rests.remaining_s(incarnation_id, session.now_s)
         session.request_log.write(
             "server rest",
             server=backend_id,
             incarnation=incarnation_id,
             seconds=rest_s,
-            until=(session.clock.now() + metadata.rest).isoformat(timespec="milliseconds"),
+            until=(session.clock.now() + timedelta(seconds=left_s)).isoformat(
+                timespec="milliseconds"
+            ),
         )
         # Requests that wait for this server are refused at once, or sent to another.
         backend = session.directory.by_id.get(backend_id)
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -25,6 +25,8 @@
 ENDLESS_FORMS = (*Form, *(Form.CHUNKED, Form.LENGTH, Form.NO_LENGTH) * 3)
 # Time between the parts of a response without end.
 PART_INTERVAL_S = 0.05
+# Seconds for which servers want nothing from a daemon.
+RESTS_S = (0.2, 0.8, 1.5, 3.0, 5.0)
 
 
 class Faults:
@@ -129,6 +131,16 @@
             await asyncio.sleep(random.uniform(1.0, 4.0))
             server.endless = None
 
+    async def rest_servers(self, random: Random) -> None:
+        """Let servers turn everything away and ask for rests, one server after the other."""
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            server = random.choice(list(self._site.servers.values()))
+            for seconds in random.sample(RESTS_S, 2):
+                server.rest_values = (b"%g" % seconds,)
+                await asyncio.sleep(random.uniform(0.3, 4.0))
+            server.rest_values = ()
+
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
         candidates = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
@@ -141,7 +153,7 @@
             await fault(daemon)
         finally:
             self._faulted_daemons.discard(daemon.name)
-            site.limit_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
+            site.record_disturbance(daemon.name, started_s, site.clock.monotonic())
 
     async def _kill_and_restart(self, daemon: Daemon) -> None:
         daemon.send_signal(signal.SIGKILL)
@@ -201,8 +213,12 @@
         site, proxy = self._site, self._site.server_proxies[name]
         proxy.drop_to_target = site.random.random() < 0.5
         proxy.drop_from_target = not proxy.drop_to_target or site.random.random() < 0.5
+        started_s = site.clock.monotonic()
         await asyncio.sleep(site.random.uniform(0.5, 4.0))
         proxy.clear_faults()
+        for daemon in site.daemons:
+            # A response with a rest may have been dropped.
+            site.rest_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
 
     async def _corrupt_responses(self, name: str) -> None:
         site, server = self._site, self._site.servers[name]
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -56,6 +56,7 @@
         faults = Faults(site)
         limits = asyncio.create_task(faults.limit_servers(Random(seed + 2)))
         endless = asyncio.create_task(faults.send_without_end(Random(seed + 3)))
+        rests = asyncio.create_task(faults.rest_servers(Random(seed + 4)))
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
             await asyncio.sleep(options.fault_interval_s * random.uniform(0.2, 1.8))
@@ -65,6 +66,7 @@
         await asyncio.gather(*running)
         limits.cancel()
         endless.cancel()
+        rests.cancel()
         site.clear_faults()
         await _check_recovery(site, clients)
         clients.stop()
@@ -74,6 +76,11 @@
         await site.stop()
     site.invariants.check_overdue(site.limit_audit.excused)
     violations = (*site.invariants.check_end(), *site.limit_audit.violations())
+    violations = (
+        *site.invariants.check_end(),
+        *site.limit_audit.violations(),
+        *site.rest_audit.violations(),
+    )
     return Verdict(seed, violations, dict(site.invariants.statuses), tuple(fault_names))
 
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -12,6 +12,7 @@
 from fuchsiawell.soak.invariants import InvariantChecker
 from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
+from fuchsiawell.soak.rest_audit import RestAudit
 from fuchsiawell.standins import MemoryStore, free_ports
 
 from standins.backend_server import BackendServer
@@ -34,6 +35,7 @@
 
     invariants: InvariantChecker
     limit_audit: LimitAudit
+    rest_audit: RestAudit
     daemon_by_request: dict[str, str]
     incarnation: int
 
@@ -47,8 +49,14 @@
         self.limit_audit.record_limit(self.incarnation_id, rate_per_s, self.clock.monotonic())
 
     def on_arrival(self, request_id: str) -> None:
-        daemon = self.daemon_by_request.get(request_id, "")
-        self.limit_audit.record_arrival(self.incarnation_id, daemon, self.clock.monotonic())
+        daemon, now_s = self.daemon_by_request.get(request_id, ""), self.clock.monotonic()
+        self.limit_audit.record_arrival(self.incarnation_id, daemon, now_s)
+        self.rest_audit.record_arrival(self.incarnation_id, daemon, now_s)
+
+    def on_rest_named(self, request_id: str, values: tuple[bytes, ...]) -> None:
+        daemon, seconds = self.daemon_by_request.get(request_id, ""), float(values[0])
+        now_s = self.clock.monotonic()
+        self.rest_audit.record_rest(self.incarnation_id, daemon, seconds, now_s)
 
     def on_limit_named(self, request_id: str) -> None:
         daemon = self.daemon_by_request.get(request_id, "")
@@ -74,6 +82,7 @@
         self.random = random
         self.invariants = InvariantChecker()
         self.limit_audit = LimitAudit()
+        self.rest_audit = RestAudit()
         self.daemon_by_request: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.servers: dict[str, CheckedServer] = {}
@@ -146,6 +155,11 @@
         self.store.remove(f"servers/{name}")
         await self.crash_server(name)
 
+    def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
+        """Record that a daemon was restarted, frozen or cut off from servers."""
+        self.limit_audit.record_disturbance(daemon, start_s, end_s)
+        self.rest_audit.record_disturbance(daemon, start_s, end_s)
+
     def clear_faults(self) -> None:
         """Switch off all faults of the store, the proxies and the servers."""
         self.store.unavailable = False
@@ -159,6 +173,7 @@
                 server.extra_responses
             ) = 0
             server.service_time_s = REQUEST_DURATION_S
+            server.rest_values = ()
             if server.rate_limit_values:
                 server.name_limit(None)
 
@@ -182,6 +197,7 @@
         )
         server.invariants, server.incarnation = self.invariants, incarnation
         server.limit_audit, server.daemon_by_request = self.limit_audit, self.daemon_by_request
+        server.rest_audit = self.rest_audit
         await server.start()
         self.servers[name] = server
         proxy = self.server_proxies.get(name)
