Send nothing more to a server that says in its answers that it leaves

Cause: the field was read nowhere; draining came from the store's entry alone, which lags, is not seen without the store, and of some servers never says it. Where all servers of a service answer 500, 503 or 504 and leave, and at owners of keys, requests went on arriving. Change: the adapter decodes the field into ResponseMetadata.leaving; LeavingTracker records it from responses to requests, grants and releases; the session keeps the incarnations that leave (LeavingServers) and marks the server in the directory as draining, also when its entry is written again or comes back late. Only a later incarnation undoes it. Why it works: all that heeds a draining entry (selection, owners, queued requests, the check after the wait for a permit, the planner of the granter) reads the directory, and each placement reads it after its last wait.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -12,6 +12,7 @@
 from fuchsiawell.gateway.control.control_loop import run_control_loop
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.control.hubs import HubSelector
+from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.load_reporter import LoadReporter
 from fuchsiawell.gateway.control.maintenance import Maintenance
 from fuchsiawell.gateway.control.membership import Membership
@@ -73,7 +74,8 @@
         self._change_relay = ChangeRelay(session)
         self._store_watcher.use_hubs(self._hubs, self._change_relay)
         self._membership = Membership(session, store)
-        self._granter = Granter(session, store, protocol, self._peers)
+        leaving_tracker = LeavingTracker(session)
+        self._granter = Granter(session, store, protocol, self._peers, leaving_tracker)
         self._store_watcher.on_granter_update = self._granter.wake_election
         session.backend_selector.has_idle_connection = lambda b: self._pool.has_idle(
             f"{b.id}/{b.incarnation}"
@@ -88,6 +90,7 @@
                 session.clock,
                 self._rate_limiting.tracker,
                 RestTracker(session),
+                leaving_tracker,
             ),
             Placement(session, self._rate_limiting.permits),
             self._peers,
--- a/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
+    from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.shards import Assignment, Owner
 
@@ -45,9 +46,12 @@
 class GrantClient:
     """Calls to one incarnation of a server. Grants share a connection, releases use others."""
 
-    def __init__(self, owner: Owner, protocol: BackendProtocol) -> None:
+    def __init__(
+        self, owner: Owner, protocol: BackendProtocol, leaving_tracker: LeavingTracker
+    ) -> None:
         self.owner = owner
         self._protocol = protocol
+        self._leaving_tracker = leaving_tracker
         self._connection: ClientConnection | None = None
         # Idle connection of an earlier release.
         self._release_connection: ClientConnection | None = None
@@ -79,6 +83,7 @@
                     await exchange.send_body_chunk(body)
                     await exchange.finish_body()
                     response = await exchange.read_response_head(lambda _: True)
+                    self._record_response(response)
                     while await exchange.read_body_chunk() is not None:
                         pass
                 if not exchange.reusable:
@@ -104,6 +109,7 @@
                 await exchange.send_body_chunk(body)
                 await exchange.finish_body()
                 response: ResponseHead = await exchange.read_response_head(lambda _: True)
+                self._record_response(response)
                 while await exchange.read_body_chunk() is not None:
                     pass
         except (OSError, InvalidResponseError) as error:
@@ -133,6 +139,11 @@
             self._connection.abort()
             self._connection = None
 
+    def _record_response(self, head: ResponseHead) -> None:
+        self._leaving_tracker.record_response(
+            self.owner.backend_id, self.owner.incarnation_id, self._protocol.parse_response(head)
+        )
+
     async def _ensure_connection(self, step: str) -> None:
         """Connect if needed; another incarnation may accept the new connection."""
         if self._connection is not None and self._connection.usable:
--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -14,6 +14,7 @@
 from fuchsiawell.shards import GrantTiming
 
 if TYPE_CHECKING:
+    from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.control.peer_messages import KeyCountReport
     from fuchsiawell.gateway.control.peers import PeerMessenger
     from fuchsiawell.gateway.ports import BackendProtocol, Store
@@ -38,12 +39,18 @@
     """Become the granter when there is none, and stop granting when another daemon takes over."""
 
     def __init__(
-        self, session: Session, store: Store, protocol: BackendProtocol, peers: PeerMessenger
+        self,
+        session: Session,
+        store: Store,
+        protocol: BackendProtocol,
+        peers: PeerMessenger,
+        leaving_tracker: LeavingTracker,
     ) -> None:
         self._session = session
         self._store = store
         self._protocol = protocol
         self._peers = peers
+        self._leaving_tracker = leaving_tracker
         self._timing = GrantTiming()
         self._granter_updated = asyncio.Event()
         self._granter_by_service: dict[str, ServiceGranter] = {}
@@ -169,7 +176,7 @@
                 self._store,
                 self._peers,
                 self._timing,
-                lambda owner: GrantClient(owner, self._protocol),
+                lambda owner: GrantClient(owner, self._protocol, self._leaving_tracker),
             )
             self._granter_by_service[service] = service_granter
             task = asyncio.get_running_loop().create_task(service_granter.run())
--- a/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
@@ -48,6 +48,7 @@
                 self._pools.evict_stale(incarnation_ids)
                 self._session.rate_limits.retain(incarnation_ids)
                 self._session.server_rests.retain(incarnation_ids, self._session.now_s)
+                self._session.leaving_servers.retain(incarnation_ids, self._session.now_s)
 
     def _record_overdue(self) -> None:
         session = self._session
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.core import Clock
+    from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.control.limit_tracker import LimitTracker
     from fuchsiawell.gateway.control.rest_tracker import RestTracker
     from fuchsiawell.gateway.execute.body import RequestBody
@@ -67,12 +68,14 @@
         clock: Clock,
         limit_tracker: LimitTracker,
         rest_tracker: RestTracker,
+        leaving_tracker: LeavingTracker,
     ) -> None:
         self._pool = pool
         self._protocol = protocol
         self._clock = clock
         self._limit_tracker = limit_tracker
         self._rest_tracker = rest_tracker
+        self._leaving_tracker = leaving_tracker
 
     async def send(
         self,
@@ -155,6 +158,7 @@
         self._limit_tracker.record_response(
             target.backend_id, target.incarnation_id, metadata, sent_s
         )
+        self._leaving_tracker.record_response(target.backend_id, target.incarnation_id, metadata)
         self._rest_tracker.record_response(target.backend_id, target.incarnation_id, metadata)
         failure = _failure(target, head, metadata)
         if failure is not None:
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -177,6 +177,8 @@
     rest: timedelta | None = None
     # A rest that cannot be read; None when there is none.
     invalid_rest: str | None = None
+    # Whether the server says that it leaves.
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -20,7 +20,7 @@
 )
 from fuchsiawell.gateway.session.metrics import Metrics
 from fuchsiawell.gateway.session.request_log import RequestLog
-from fuchsiawell.routing import BackendDirectory, TrafficSplitter
+from fuchsiawell.routing import BackendDirectory, LeavingServers, TrafficSplitter
 from fuchsiawell.shards import KeyCounter
 
 if TYPE_CHECKING:
@@ -96,6 +96,7 @@
         self.metrics = Metrics()
         self.configuration: Configuration | None = None
         self.directory = BackendDirectory()
+        self.leaving_servers = LeavingServers()
         self.shard_maps: dict[str, ShardMap] = {}
         self.peers_by_name: dict[str, Peer] = {}
         # Increases with each change of the peers.
@@ -224,8 +225,13 @@
         known = self.directory.by_id.get(backend.id)
         if known is not None and known.incarnation != backend.incarnation:
             self.discard_backend_history(backend.id)
+        leaving_since_s = self.leaving_servers.since_s(backend.incarnation_id)
+        if leaving_since_s is not None:
+            backend = replace(backend, draining=True)
         if backend.draining and (known is None or not known.draining):
-            self._drain_started_s[backend.id] = self.now_s
+            self._drain_started_s[backend.id] = (
+                self.now_s if leaving_since_s is None else leaving_since_s
+            )
             self.log.event("backend draining", server=backend.id, service=backend.service)
         elif not backend.draining:
             self._drain_started_s.pop(backend.id, None)
@@ -236,6 +242,20 @@
         self.directory.upsert(backend)
         self.wake(backend.service)
 
+    def record_leaving(self, backend_id: str, incarnation_id: str, source: str) -> bool:
+        """Treat a server incarnation as draining, for good; return whether that was not known."""
+        if not self.leaving_servers.record(incarnation_id, self.now_s):
+            return False
+        self.log.event(
+            "server leaving", server=backend_id, incarnation=incarnation_id, source=source
+        )
+        backend = self.directory.by_id.get(backend_id)
+        if backend is not None and backend.incarnation_id == incarnation_id:
+            self._drain_started_s.setdefault(backend_id, self.now_s)
+            self.directory.mark_draining(backend_id)
+            self.wake(backend.service)
+        return True
+
     def remove_backend(self, backend_id: str) -> None:
         """Handle the removal of a server's entry; the directory may keep the server for a while."""
         if backend_id not in self.directory.by_id:
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -12,10 +12,13 @@
 import pytest
 
 from fuchsiawell.gateway.control.grant_client import GrantCallError, GrantClient
-from fuchsiawell.gateway.ports import BackendProtocol, KeyGrant
+from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
+from fuchsiawell.gateway.ports import BackendProtocol, KeyGrant, ResponseMetadata
 from fuchsiawell.httpio import RequestHead
 from fuchsiawell.shards import Assignment, Owner
 
+from builders import backend, session
+
 TTL = timedelta(seconds=2)
 
 
@@ -33,7 +36,9 @@
         raise NotImplementedError
 
     def parse_response(self, head):
-        raise NotImplementedError
+        return ResponseMetadata(
+            None, False, False, False, leaving=(b"leaving", b"1") in head.fields
+        )
 
     def refusal_fields(self, request_id, retry_after):
         raise NotImplementedError
@@ -56,7 +61,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     owner = Owner("i-1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
-    client = GrantClient(owner, FakeProtocol())
+    client = GrantClient(owner, FakeProtocol(), LeavingTracker(session()))
     assert await client.grant(Assignment(0, 9, 5, owner), TTL, None) == 200
     assert await client.grant(Assignment(10, 19, 6, owner), TTL, None) == 200
     writers[0].close()
@@ -71,3 +76,26 @@
     assert received_fences == [b"5", b"6", b"7"]
     client.abort()
     server.close()
+
+
+# Guards against a granter that renews the grants of a server which says in its responses to them
+# that it leaves.
+@pytest.mark.parametrize("call", ["grant", "release"])
+async def test_response_to_a_grant_or_release_says_that_the_server_leaves(call: str) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    owner = Owner("i-1", 1, "127.0.0.1", port)
+    granting_session = session()
+    granting_session.update_backend(backend("i-1", port))
+    client = GrantClient(owner, FakeProtocol(), LeavingTracker(granting_session))
+    if call == "grant":
+        await client.grant(Assignment(0, 9, 5, owner), TTL, None)
+    else:
+        await client.release(0, 9, 5)
+    assert granting_session.directory.by_id["i-1"].draining
+    client.abort()
+    server.close()
--- a/libs/gateway/tests/test_granter.py
+++ b/libs/gateway/tests/test_granter.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from fuchsiawell.gateway.control.granter import Granter
+from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.standins import MemoryStore, VirtualClock, run_in_virtual_time
 
@@ -20,7 +21,13 @@
         local_session = session(cast("Any", clock))
         local_session.configuration = configuration(sharded=True)
         store = MemoryStore(clock)
-        granter = Granter(local_session, store, cast("Any", None), PeerMessenger(local_session))
+        granter = Granter(
+            local_session,
+            store,
+            cast("Any", None),
+            PeerMessenger(local_session),
+            LeavingTracker(local_session),
+        )
         task = asyncio.create_task(granter.run())
         await asyncio.sleep(5.0)
         assert local_session.granter == local_session.settings.daemon
--- a/libs/gateway/tests/test_session.py
+++ b/libs/gateway/tests/test_session.py
@@ -43,6 +43,26 @@
     assert not gateway_session.owner_accepts_requests("i-unknown")
 
 
+# Guards against an owner that gets requests for a while again each time its entry comes back.
+def test_owner_that_says_it_leaves_gets_requests_from_the_first_response_on_only() -> None:
+    clock = ManualClock(1000.0)
+    gateway_session = session(clock)
+    gateway_session.update_backend(backend("i-1"))
+    assert gateway_session.record_leaving("i-1", "i-1/1", "server")
+    assert gateway_session.owner_accepts_requests("i-1")
+    clock.advance(0.7)
+    assert not gateway_session.record_leaving("i-1", "i-1/1", "server")
+    assert not gateway_session.owner_accepts_requests("i-1")
+    gateway_session.remove_backend("i-1")
+    assert not gateway_session.owner_accepts_requests("i-1")
+    gateway_session.update_backend(backend("i-1"))
+    assert not gateway_session.owner_accepts_requests("i-1")
+    assert not gateway_session.directory.preferred("s")
+    gateway_session.update_backend(backend("i-1", incarnation=2))
+    assert gateway_session.owner_accepts_requests("i-1")
+    assert len(gateway_session.directory.preferred("s")) == 1
+
+
 def test_older_shard_map_does_not_replace_newer_one() -> None:
     gateway_session = session()
     old = initial_map("s", "d", [Member(OWNER, 1.0)])
--- a/libs/routing/src/fuchsiawell/routing/__init__.py
+++ b/libs/routing/src/fuchsiawell/routing/__init__.py
@@ -11,6 +11,7 @@
     WeightedService,
 )
 from fuchsiawell.routing.directory import Backend, BackendDirectory
+from fuchsiawell.routing.leaving_servers import LeavingServers
 from fuchsiawell.routing.traffic_split import TrafficSplitter
 
 __all__ = [
@@ -19,6 +20,7 @@
     "ClientLimits",
     "Configuration",
     "Idempotency",
+    "LeavingServers",
     "Route",
     "Service",
     "TrafficSplitter",
--- a/libs/routing/src/fuchsiawell/routing/directory.py
+++ b/libs/routing/src/fuchsiawell/routing/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -40,6 +40,11 @@
         """The address, for logs."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def incarnation_id(self) -> str:
+        """The server and its incarnation."""
+        return f"{self.id}/{self.incarnation}"
+
 
 class BackendDirectory:
     """Keep the backend servers by id; delay removals after the store was unavailable.
@@ -95,6 +100,10 @@
         self._missing_until_s.pop(backend.id, None)
         self._by_id[backend.id] = backend
 
+    def mark_draining(self, backend_id: str) -> None:
+        """Mark a server as draining, whether its entry is present or missing."""
+        self._by_id[backend_id] = replace(self._by_id[backend_id], draining=True)
+
     def remove(self, backend_id: str, now_s: float) -> None:
         """Remove a server, at once unless the store was unavailable shortly before."""
         if backend_id not in self._by_id or backend_id in self._missing_until_s:
--- a/libs/routing/tests/test_directory.py
+++ b/libs/routing/tests/test_directory.py
@@ -18,6 +18,18 @@
     return directory
 
 
+# Guards against a mark that makes a server with a missing entry count as present again.
+def test_mark_of_a_server_with_a_missing_entry_leaves_it_missing(
+    directory: BackendDirectory,
+) -> None:
+    directory.on_store_unavailable(10.0)
+    directory.remove("i-1", 10.0)
+    directory.mark_draining("i-1")
+    assert directory.ready_backends("s") == []
+    directory.on_store_available(11.0)
+    assert directory.expire(20.0) == ["i-1"]
+
+
 def test_draining_server_is_not_ready(directory: BackendDirectory) -> None:
     directory.upsert(replace(BACKEND, draining=True))
     assert directory.ready_backends("s") == []
