Let daemons tell each other that a server leaves, so that the keys of a leaving owner move

Cause: the granter moves keys by its own directory. Its daemon may have got no answer from that owner, and the entry may never say draining. Ruled out: that answers to grants suffice. Change: the datagram ServerLeavingReport (v). Daemons of an earlier release drop unknown kinds with a log line, which has a test now. A closed messenger sends nothing.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -74,7 +74,7 @@
         self._change_relay = ChangeRelay(session)
         self._store_watcher.use_hubs(self._hubs, self._change_relay)
         self._membership = Membership(session, store)
-        leaving_tracker = LeavingTracker(session)
+        leaving_tracker = LeavingTracker(session, self._peers)
         self._granter = Granter(session, store, protocol, self._peers, leaving_tracker)
         self._store_watcher.on_granter_update = self._granter.wake_election
         session.backend_selector.has_idle_connection = lambda b: self._pool.has_idle(
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -21,6 +21,7 @@
     "PermitRequest",
     "PermitStatus",
     "RateLimitReport",
+    "ServerLeavingReport",
     "ShardMapUpdate",
     "SuspicionCleared",
     "TermReport",
@@ -112,6 +113,14 @@
     age_ms: int
 
 
+@dataclass(frozen=True)
+class ServerLeavingReport:
+    """A server incarnation has said in a response that it leaves."""
+
+    backend_id: str
+    incarnation_id: str
+
+
 @dataclass(frozen=True)
 class PermitRequest:
     """Request to the issuer of a rate-limited server for leave to send it one request."""
@@ -158,6 +167,7 @@
     | RateLimitReport
     | PermitRequest
     | PermitReply
+    | ServerLeavingReport
 )
 
 
@@ -200,6 +210,8 @@
             body = ["q", number, _encode_limit(limit), priority, max_wait_ms, rank]
         case PermitReply(number, status, wait_ms, limit):
             body = ["r", number, status.value, wait_ms, _encode_limit(limit)]
+        case ServerLeavingReport(backend_id, incarnation_id):
+            body = ["v", backend_id, incarnation_id]
     return bytes(msgpack.packb([sender, lamport_time, *body]))
 
 
@@ -250,6 +262,8 @@
             return PermitReply(
                 _number(number), PermitStatus(_text(status)), _number(wait_ms), _decode_limit(row)
             )
+        case "v", [backend_id, incarnation_id]:
+            return ServerLeavingReport(_text(backend_id), _text(incarnation_id))
         case _:
             raise ValueError(f"message kind {kind!r} is unknown")
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -16,6 +16,7 @@
     PermitReply,
     PermitRequest,
     RateLimitReport,
+    ServerLeavingReport,
     ShardMapUpdate,
     SuspicionCleared,
     TermReport,
@@ -48,6 +49,7 @@
         self.on_limit_message: (
             Callable[[str, RateLimitReport | PermitRequest | PermitReply], None] | None
         ) = None
+        self.on_leaving_report: Callable[[str, ServerLeavingReport], None] | None = None
 
     async def open(self) -> None:
         """Listen for datagrams."""
@@ -116,9 +118,10 @@
                     self.send([granter], report)
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket; later messages are not sent."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def _latency_percent(self, service: str) -> dict[int, int]:
         session = self._session
@@ -159,6 +162,9 @@
             case RateLimitReport() | PermitRequest() | PermitReply():
                 if self.on_limit_message is not None:
                     self.on_limit_message(sender, message)
+            case ServerLeavingReport():
+                if self.on_leaving_report is not None:
+                    self.on_leaving_report(sender, message)
 
     def _apply_terms(self, sender: str, terms: dict[str, int]) -> None:
         if terms and self.on_terms is not None:
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -8,11 +8,13 @@
 
 import asyncio
 from datetime import timedelta
+from typing import Any
 
 import pytest
 
 from fuchsiawell.gateway.control.grant_client import GrantCallError, GrantClient
 from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
+from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.ports import BackendProtocol, KeyGrant, ResponseMetadata
 from fuchsiawell.httpio import RequestHead
 from fuchsiawell.shards import Assignment, Owner
@@ -47,6 +49,10 @@
         return None
 
 
+def leaving_tracker(local_session: Any) -> LeavingTracker:
+    return LeavingTracker(local_session, PeerMessenger(local_session))
+
+
 async def test_after_a_lost_connection_only_higher_fences_are_sent() -> None:
     """In soak seed 7 a renewal under an old fence reached the next incarnation of the server."""
     received_fences: list[bytes] = []
@@ -61,7 +67,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     owner = Owner("i-1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
-    client = GrantClient(owner, FakeProtocol(), LeavingTracker(session()))
+    client = GrantClient(owner, FakeProtocol(), leaving_tracker(session()))
     assert await client.grant(Assignment(0, 9, 5, owner), TTL, None) == 200
     assert await client.grant(Assignment(10, 19, 6, owner), TTL, None) == 200
     writers[0].close()
@@ -91,7 +97,7 @@
     owner = Owner("i-1", 1, "127.0.0.1", port)
     granting_session = session()
     granting_session.update_backend(backend("i-1", port))
-    client = GrantClient(owner, FakeProtocol(), LeavingTracker(granting_session))
+    client = GrantClient(owner, FakeProtocol(), leaving_tracker(granting_session))
     if call == "grant":
         await client.grant(Assignment(0, 9, 5, owner), TTL, None)
     else:
--- a/libs/gateway/tests/test_granter.py
+++ b/libs/gateway/tests/test_granter.py
@@ -21,12 +21,13 @@
         local_session = session(cast("Any", clock))
         local_session.configuration = configuration(sharded=True)
         store = MemoryStore(clock)
+        peers = PeerMessenger(local_session)
         granter = Granter(
             local_session,
             store,
             cast("Any", None),
-            PeerMessenger(local_session),
-            LeavingTracker(local_session),
+            peers,
+            LeavingTracker(local_session, peers),
         )
         task = asyncio.create_task(granter.run())
         await asyncio.sleep(5.0)
--- a/libs/gateway/tests/test_peer_messages.py
+++ b/libs/gateway/tests/test_peer_messages.py
@@ -21,6 +21,7 @@
     PermitRequest,
     PermitStatus,
     RateLimitReport,
+    ServerLeavingReport,
     ShardMapUpdate,
     SuspicionCleared,
     TermReport,
@@ -41,7 +42,7 @@
     encode_map,
 )
 
-from builders import session
+from builders import log_events, session
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.control.peer_messages import Message
@@ -62,6 +63,7 @@
     RateLimitReport("i-1", "i-1/5", None, 0),
     PermitRequest(7, RateLimitReport("i-1", "i-1/5", 0.0, 20), 1, 300, 0),
     PermitReply(7, PermitStatus.DENIED, 250, RateLimitReport("i-1", "i-1/5", 0.5, 20)),
+    ServerLeavingReport("i-1", "i-1/5"),
 ]
 
 
@@ -79,6 +81,17 @@
         decode_message(data)
 
 
+# Guards against a daemon that fails at, or acts on, a kind of message of a later release.
+def test_message_of_an_unknown_kind_is_logged_and_dropped() -> None:
+    receiver = session()
+    messenger = PeerMessenger(receiver)
+    messenger.datagram_received(msgpack.packb(["d-2", 9, "?", "i-1", "i-1/5"]), ("10.0.0.2", 1))
+    [line] = log_events(receiver, "peer message unreadable, dropped")
+    assert "is unknown" in line["reason"]
+    messenger.datagram_received(encode_message("d-2", 10, SuspicionCleared(1)), ("10.0.0.2", 1))
+    assert len(log_events(receiver, "peer message unreadable, dropped")) == 1
+
+
 @pytest.mark.parametrize("rate_per_s", [-1.0, float("nan"), float("inf"), "2", True])
 def test_rate_limit_that_is_no_number_of_requests_is_malformed(rate_per_s: object) -> None:
     data = msgpack.packb(["d-1", 9, "s", "i-1", "i-1/5", rate_per_s, 20])
