Let servers of the soak say that they leave, every second one without a word in its entry

Change: they say Server-Leaving: 1 in their answers. Every second one says it neither in its entry nor in answers to grants, and stays 2 s longer. LeavingAudit counts as the rule does: by what clients sent, and what they were passed on; a restart or freeze of the daemon excuses it. Mutant ignore-leaving.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,8 @@
 	$(MAKE) soak SEEDS="$(SHORT_SEEDS)"
 
 # One of the seeds must catch each mutant; a soak that does not catch it exits with status 0.
-MUTANTS ?= repeat-all lie pass-strays-on move-early die-at-stop grant-once ignore-limits ignore-rests
+MUTANTS ?= repeat-all lie pass-strays-on move-early die-at-stop grant-once ignore-limits ignore-rests \
+	ignore-leaving
 soak-mutants: install
 	@mkdir -p build; for mutant in $(MUTANTS); do \
 		caught=; \
--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -19,6 +19,7 @@
 
     from fuchsiawell.soak.daemons import Daemon
     from fuchsiawell.soak.invariants import InvariantChecker
+    from fuchsiawell.soak.leaving_audit import LeavingAudit
 
 __all__ = ["Clients"]
 
@@ -41,11 +42,13 @@
         invariants: InvariantChecker,
         random: Random,
         daemon_by_request: dict[str, str],
+        leaving_audit: LeavingAudit,
     ) -> None:
         self._daemons = daemons
         self._invariants = invariants
         self._random = random
         self._daemon_by_request = daemon_by_request
+        self._leaving_audit = leaving_audit
         self._request_count = 0
         self._stopped = False
         self.connections: dict[int, tuple[Daemon, ClientConnection]] = {}
@@ -68,6 +71,8 @@
         idempotent = kind == "safe"
         self._invariants.record_sent(request_id, idempotent)
         self._daemon_by_request[request_id] = daemon.name
+        loop = asyncio.get_running_loop()
+        self._leaving_audit.record_sent(request_id, daemon.name, loop.time())
         fields = [
             (b"host", b"a.example"),
             (b"request-id", request_id.encode()),
@@ -125,6 +130,9 @@
             self.connections[client] = (daemon, connection)
         else:
             connection.close()
+        if first_value(response.fields, b"server-leaving") is not None:
+            server, now_s = body.split(b" ")[0].decode(), asyncio.get_running_loop().time()
+            self._leaving_audit.record_told(server, daemon.name, now_s)
         response_id = first_value(response.fields, b"request-id")
         return RequestResult(
             request_id,
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -19,6 +19,8 @@
 
 # A server fault is skipped while fewer servers than this are free of faults.
 MIN_CANDIDATE_SERVERS = 3
+# A server whose entry does not say that it leaves stays this much longer.
+SILENT_LEAVE_S = 2.0
 # Requests per second that limited servers take from all daemons.
 LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
 # What servers send without end; what is passed on to clients in part is chosen more often.
@@ -35,6 +37,7 @@
     def __init__(self, site: SoakSite) -> None:
         self._site = site
         self._faulted_servers: set[str] = set()
+        self._left_servers = 0
         self._faulted_daemons: set[str] = set()
 
     async def kill_daemon(self) -> None:
@@ -90,7 +93,7 @@
         await self._inject_into_server(self._crash_and_restart)
 
     async def leave_server(self) -> None:
-        """Drain and remove a server, and add another one."""
+        """Let a server say that it leaves, remove it, and add another one."""
         await self._inject_into_server(self._drain_and_replace)
 
     async def mute_server(self) -> None:
@@ -196,10 +199,16 @@
         await self._site.restart_server(name)
 
     async def _drain_and_replace(self, name: str) -> None:
-        site = self._site
-        site.write_server_entry(name, "draining")
+        site, server = self._site, self._site.servers[name]
+        server.leaving_values = (b"1",)
+        # Every second server leaves without a word in its entry and in its responses to grants.
+        self._left_servers += 1
+        silent = self._left_servers % 2 == 1
+        server.leaving_in_grants = not silent
+        if not silent:
+            site.write_server_entry(name, "draining")
         await site.add_server()
-        await asyncio.sleep(site.random.uniform(2.0, 4.0))
+        await asyncio.sleep(site.random.uniform(2.0, 4.0) + (SILENT_LEAVE_S if silent else 0.0))
         await site.remove_server(name)
         del site.servers[name]
 
--- a/libs/soak/src/fuchsiawell/soak/leaving_audit.py
+++ b/libs/soak/src/fuchsiawell/soak/leaving_audit.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self._told_s: dict[tuple[str, str], list[float]] = defaultdict(list)
+        self._sent: dict[str, tuple[str, float]] = {}
         self._arrivals: list[tuple[str, str, float, float]] = []
         self._disturbances: list[tuple[str, float, float]] = []
 
@@ -25,8 +26,13 @@
         """Record that a daemon passed on an answer that says that the server leaves."""
         self._told_s[incarnation_id, daemon].append(now_s)
 
-    def record_arrival(self, incarnation_id: str, daemon: str, sent_s: float, now_s: float) -> None:
-        """Record a request, sent by a client at `sent_s`, that reached a server from a daemon."""
+    def record_sent(self, request_id: str, daemon: str, now_s: float) -> None:
+        """Record that a client sends a request to a daemon."""
+        self._sent[request_id] = daemon, now_s
+
+    def record_arrival(self, incarnation_id: str, request_id: str, now_s: float) -> None:
+        """Record that a request reached a server."""
+        daemon, sent_s = self._sent.get(request_id, ("", now_s))
         if (incarnation_id, daemon) in self._told_s:
             self._arrivals.append((incarnation_id, daemon, sent_s, now_s))
 
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -51,7 +51,13 @@
     fault_names: list[str] = []
     try:
         await site.start(options.servers, options.daemons, options.program)
-        clients = Clients(site.daemons, site.invariants, Random(seed + 1), site.daemon_by_request)
+        clients = Clients(
+            site.daemons,
+            site.invariants,
+            Random(seed + 1),
+            site.daemon_by_request,
+            site.leaving_audit,
+        )
         load = asyncio.create_task(clients.run(options.clients, 0.02))
         faults = Faults(site)
         limits = asyncio.create_task(faults.limit_servers(Random(seed + 2)))
@@ -75,11 +81,11 @@
     finally:
         await site.stop()
     site.invariants.check_overdue(site.limit_audit.excused)
-    violations = (*site.invariants.check_end(), *site.limit_audit.violations())
     violations = (
         *site.invariants.check_end(),
         *site.limit_audit.violations(),
         *site.rest_audit.violations(),
+        *site.leaving_audit.violations(),
     )
     return Verdict(seed, violations, dict(site.invariants.statuses), tuple(fault_names))
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -10,6 +10,7 @@
 from fuchsiawell.core import SystemClock
 from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.invariants import InvariantChecker
+from fuchsiawell.soak.leaving_audit import LeavingAudit
 from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
 from fuchsiawell.soak.rest_audit import RestAudit
@@ -36,6 +37,7 @@
     invariants: InvariantChecker
     limit_audit: LimitAudit
     rest_audit: RestAudit
+    leaving_audit: LeavingAudit
     daemon_by_request: dict[str, str]
     incarnation: int
 
@@ -52,6 +54,8 @@
         daemon, now_s = self.daemon_by_request.get(request_id, ""), self.clock.monotonic()
         self.limit_audit.record_arrival(self.incarnation_id, daemon, now_s)
         self.rest_audit.record_arrival(self.incarnation_id, daemon, now_s)
+        # Clients know the ids of servers only; one that leaves has no later incarnation here.
+        self.leaving_audit.record_arrival(self.id, request_id, now_s)
 
     def on_rest_named(self, request_id: str, values: tuple[bytes, ...]) -> None:
         daemon, seconds = self.daemon_by_request.get(request_id, ""), float(values[0])
@@ -83,6 +87,7 @@
         self.invariants = InvariantChecker()
         self.limit_audit = LimitAudit()
         self.rest_audit = RestAudit()
+        self.leaving_audit = LeavingAudit()
         self.daemon_by_request: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.servers: dict[str, CheckedServer] = {}
@@ -159,6 +164,7 @@
         """Record that a daemon was restarted, frozen or cut off from servers."""
         self.limit_audit.record_disturbance(daemon, start_s, end_s)
         self.rest_audit.record_disturbance(daemon, start_s, end_s)
+        self.leaving_audit.record_disturbance(daemon, start_s, end_s)
 
     def clear_faults(self) -> None:
         """Switch off all faults of the store, the proxies and the servers."""
@@ -196,6 +202,7 @@
             name, "s", self.clock, sharded=True, slots=4, service_time_s=REQUEST_DURATION_S
         )
         server.invariants, server.incarnation = self.invariants, incarnation
+        server.leaving_audit = self.leaving_audit
         server.limit_audit, server.daemon_by_request = self.limit_audit, self.daemon_by_request
         server.rest_audit = self.rest_audit
         await server.start()
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -17,6 +17,7 @@
 from fuchsiawell.gateway.execute import forwarder
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
+from fuchsiawell.gateway.session.state import Session
 from fuchsiawell.httpio import Exchange
 from fuchsiawell.shards import GrantExpiryTracker
 
@@ -97,6 +98,11 @@
     ServerRests.record_named = lambda self, backend_id, incarnation_id, rest_s, now_s: 0.0  # type: ignore[method-assign]
 
 
+def _ignore_leaving() -> None:
+    """Take no notice of what servers say in their responses about leaving."""
+    Session.record_leaving = lambda self, backend_id, incarnation_id, source: False  # type: ignore[method-assign]
+
+
 MUTANTS = {
     "repeat-all": _repeat_all,
     "lie": _lie,
@@ -106,6 +112,7 @@
     "grant-once": _grant_once,
     "ignore-limits": _ignore_limits,
     "ignore-rests": _ignore_rests,
+    "ignore-leaving": _ignore_leaving,
 }
 
 
