Keep a server draining for its incarnation once its entry has said so

An incarnation that has reported draining exits. Its entry may still be shown as ready later, by a store that came back from an older copy, or return as draining after an outage. Cause: an entry that says ready undid the drain, and one that came back restarted the time for which an owner still gets requests. Ruled out: an incarnation that goes from draining to ready; the platform's pages know none, and no test expects it. Change: an entry that says draining is recorded like an answer that says so (LeavingServers). Why it works: both then have one record by incarnation, with the time of the first word, which only a later incarnation lacks.

--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -225,16 +225,16 @@
         known = self.directory.by_id.get(backend.id)
         if known is not None and known.incarnation != backend.incarnation:
             self.discard_backend_history(backend.id)
+        if backend.draining:
+            self.leaving_servers.record(backend.incarnation_id, self.now_s)
         leaving_since_s = self.leaving_servers.since_s(backend.incarnation_id)
-        if leaving_since_s is not None:
-            backend = replace(backend, draining=True)
-        if backend.draining and (known is None or not known.draining):
-            self._drain_started_s[backend.id] = (
-                self.now_s if leaving_since_s is None else leaving_since_s
-            )
-            self.log.event("backend draining", server=backend.id, service=backend.service)
-        elif not backend.draining:
+        if leaving_since_s is None:
             self._drain_started_s.pop(backend.id, None)
+        else:
+            backend = replace(backend, draining=True)
+            self._drain_started_s[backend.id] = leaving_since_s
+            if known is None or not known.draining:
+                self.log.event("backend draining", server=backend.id, service=backend.service)
         if known is None:
             self.log.event(
                 "backend joined", server=backend.id, service=backend.service, peer=backend.peer
--- a/libs/gateway/tests/test_session.py
+++ b/libs/gateway/tests/test_session.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import pytest
+
 from fuchsiawell.balance import RetryRules
 from fuchsiawell.core import LamportClock, ManualClock, open_event_log
 from fuchsiawell.gateway.session.log_stream import LogStream
@@ -43,6 +45,28 @@
     assert not gateway_session.owner_accepts_requests("i-unknown")
 
 
+# Guards against an older entry that a store restored from a copy shows again, and against an entry
+# that is back after an outage of the store: the server got requests again.
+@pytest.mark.parametrize("removed", [False, True])
+@pytest.mark.parametrize("draining", [False, True])
+def test_entry_of_a_server_that_was_draining_does_not_undo_it(
+    removed: bool, draining: bool
+) -> None:
+    clock = ManualClock(1000.0)
+    gateway_session = session(clock)
+    gateway_session.update_backend(backend("i-1"))
+    gateway_session.update_backend(backend("i-1", draining=True))
+    clock.advance(2.5)
+    if removed:
+        gateway_session.remove_backend("i-1")
+    clock.advance(2.5)
+    gateway_session.update_backend(backend("i-1", draining=draining))
+    assert not gateway_session.owner_accepts_requests("i-1")
+    assert not gateway_session.directory.preferred("s")
+    gateway_session.update_backend(backend("i-1", incarnation=2))
+    assert gateway_session.owner_accepts_requests("i-1")
+
+
 # Guards against an owner that gets requests for a while again each time its entry comes back.
 def test_owner_that_says_it_leaves_gets_requests_from_the_first_response_on_only() -> None:
     clock = ManualClock(1000.0)
