Move the log lines on how requests end out of the frontend

RequestRecords has the log lines and counters, the frontend the path of a request. Lines and metrics are the same, but internal errors of the steps serve and send name the peer too, as those of prepare did.

test_frontend.py, test_client_connections.py, test_every_request_answered.py and test_end_to_end.py pass (104).

--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -7,8 +7,8 @@
 
 from fuchsiawell.gateway.execute.body import RequestBody
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
-from fuchsiawell.gateway.execute.outcome import Response
 from fuchsiawell.gateway.execute.refusal import Refusal, bad_gateway, not_executed, timed_out
+from fuchsiawell.gateway.execute.request_records import RequestRecords
 from fuchsiawell.httpio import (
     CLIENT_TIMEOUTS,
     BadRequestError,
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.execute.forwarder import Forwarder
+    from fuchsiawell.gateway.execute.outcome import Response
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.httpio import RequestHead
@@ -42,8 +43,6 @@
 # Time a connection stays open beyond the announced idle timeout: a request may be in transit.
 IDLE_SLACK_S = 1.0
 
-MAX_LOGGED_PATH_BYTES = 200
-
 
 class Frontend:
     """Accept client connections and respond to their requests."""
@@ -52,6 +51,7 @@
         self._session = session
         self._forwarder = forwarder
         self._protocol = protocol
+        self._records = RequestRecords(session)
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: dict[Channel, ServerConnection] = {}
         # Set by a stop: connections are closed instead of waiting for a further request.
@@ -133,7 +133,7 @@
             finally:
                 self._idle.pop(channel, None)
             if head is None:
-                self._record_unread(connection, "idle timeout or last response")
+                self._records.unread(connection, "idle timeout or last response")
                 return
             self.in_flight += 1
             try:
@@ -159,7 +159,7 @@
         request = self._prepare(connection, head, started_s)
         step = "serve"
         try:
-            result = await self._serve_request(request, channel)
+            result = await self._serve_request(connection, request)
             channel.on_disconnect = None
             # The close would drop a further request that has begun to arrive.
             stopping = session.stopping and not connection.next_request_started
@@ -167,9 +167,9 @@
             step = "send"
             await self._send(connection, request, result, close_after)
         except (Exception, asyncio.CancelledError) as error:
-            self._record_unanswered(connection, request, step, error, started_s)
+            self._records.unanswered(connection, request, step, error, started_s)
             raise
-        self._record_result(request, result, session.now_s - started_s)
+        self._records.result(request, result, session.now_s - started_s)
         return not close_after
 
     def _prepare(
@@ -184,19 +184,12 @@
         try:
             return self._forwarder.prepare(head, RequestBody(connection, max_body_bytes), started_s)
         except Exception as error:
-            session.metrics.count("internal_errors", "prepare")
-            session.log.warning(
-                "internal error",
-                step="prepare",
-                peer=connection.channel.peer,
-                path=_path(head),
-                error=repr(error),
-            )
+            self._records.internal_error(connection, None, "prepare", error)
             # Nothing has been sent to a server yet.
             return not_executed("internal error", INTERNAL_ERROR_RETRY_AFTER_S)
 
     async def _serve_request(
-        self, request: ClientRequest | Refusal, channel: Channel
+        self, connection: ServerConnection, request: ClientRequest | Refusal
     ) -> Response | Refusal:
         """Return the response for the client; raises only when the client has disconnected."""
         if isinstance(request, Refusal):
@@ -209,18 +202,18 @@
         except TimeoutError as error:
             if timeout.expired():
                 return self._stop_refusal(request)
-            return self._internal_error(request, error)
+            return self._internal_error(connection, request, error)
         except BadRequestError as error:
             return Refusal(error.status, str(error))
         except asyncio.CancelledError as error:
             if _current_task_cancelled():
                 raise
-            return self._internal_error(request, error)
+            return self._internal_error(connection, request, error)
         except Exception as error:
             # A ConnectionError is the client's only if the client has disconnected.
-            if isinstance(error, ConnectionError) and channel.at_eof:
+            if isinstance(error, ConnectionError) and connection.channel.at_eof:
                 raise
-            return self._internal_error(request, error)
+            return self._internal_error(connection, request, error)
         finally:
             self._request_timeouts.discard(timeout)
 
@@ -238,22 +231,15 @@
             return timed_out("daemon is stopping")
         return not_executed("daemon is stopping", STOP_RETRY_AFTER_S)
 
-    def _internal_error(self, request: ClientRequest, error: BaseException) -> Refusal:
+    def _internal_error(
+        self, connection: ServerConnection, request: ClientRequest, error: BaseException
+    ) -> Refusal:
         """Log a fault of the daemon and return a refusal, so that the client gets a response."""
-        self._log_internal_error(request, "serve", error)
+        self._records.internal_error(connection, request, "serve", error)
         if request.maybe_executed:
             return bad_gateway("internal error")
         return not_executed("internal error", INTERNAL_ERROR_RETRY_AFTER_S)
 
-    def _log_internal_error(
-        self, request: ClientRequest | Refusal, step: str, error: BaseException
-    ) -> None:
-        request_id = request.request_id if isinstance(request, ClientRequest) else None
-        self._session.metrics.count("internal_errors", step)
-        self._session.log.warning(
-            "internal error", request=request_id, step=step, error=repr(error)
-        )
-
     async def _send(
         self,
         connection: ServerConnection,
@@ -271,7 +257,7 @@
                 # A close without a reset could look like the end of the response.
                 connection.channel.abort()
                 raise
-            self._log_internal_error(request, "send", error)
+            self._records.internal_error(connection, request, "send", error)
             await connection.send_response(502, [], b"", close_after)
 
     async def _send_result(
@@ -321,69 +307,6 @@
         await connection.send_response(error.status, [], b"", close_after=True)
         await connection.channel.close_after_peer(LINGER_LIMITS)
 
-    def _record_result(
-        self, request: ClientRequest | Refusal, result: Response | Refusal, took_s: float
-    ) -> None:
-        session = self._session
-        session.metrics.observe("request_time", took_s)
-        if isinstance(result, Response):
-            session.metrics.count("answers", str(result.head.status))
-            return
-        session.metrics.count("refusals", str(result.status))
-        session.request_log.write(
-            "request refused",
-            request=request.request_id if isinstance(request, ClientRequest) else None,
-            route=request.route.name if isinstance(request, ClientRequest) else None,
-            status=result.status,
-            why=result.reason,
-            took_ms=round(took_s * 1000),
-            come_back_ms=(
-                None
-                if result.retry_after is None
-                else round(result.retry_after.total_seconds() * 1000)
-            ),
-        )
-
-    def _record_unanswered(
-        self,
-        connection: ServerConnection,
-        request: ClientRequest | Refusal,
-        step: str,
-        error: BaseException,
-        started_s: float,
-    ) -> None:
-        """Log a request whose connection ends before its response is complete."""
-        channel, session = connection.channel, self._session
-        known = request if isinstance(request, ClientRequest) else None
-        left = channel.at_eof
-        session.metrics.count("unanswered", channel.end_reason if left else f"failed to {step}")
-        session.request_log.write(
-            "client left" if left else "request unanswered",
-            request=known.request_id if known else None,
-            route=known.route.name if known else None,
-            path=None if known or connection.head is None else _path(connection.head),
-            tries=len(known.attempted_backends) if known else 0,
-            took_ms=round((session.now_s - started_s) * 1000),
-            left_ms=round((known.deadline_s - session.now_s) * 1000) if known else None,
-            step=step,
-            peer=channel.peer,
-            how=channel.end_reason if left else repr(error),
-            body_read=connection.body_complete,
-        )
-
-    def _record_unread(self, connection: ServerConnection, why: str) -> None:
-        """Log the close of a connection on which part of a request has arrived."""
-        channel = connection.channel
-        if channel.at_eof or not connection.next_request_started:
-            return
-        self._session.metrics.count("closed_unread", why)
-        self._session.request_log.write(
-            "connection closed with unread data",
-            peer=channel.peer,
-            why=why,
-            unread_bytes=channel.unread_bytes,
-        )
-
     def _head_limits(self) -> HeadLimits:
         configuration = self._session.configuration
         if configuration is None:
@@ -402,10 +325,5 @@
     return task is not None and task.cancelling() > 0
 
 
-def _path(head: RequestHead) -> str:
-    """Return the path without its query, shortened for logs."""
-    return head.target.split(b"?", 1)[0][:MAX_LOGGED_PATH_BYTES].decode("latin-1")
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
--- /dev/null
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/request_records.py
@@ -0,0 +1,112 @@
+"""Log and count how the requests of clients end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiawell.gateway.execute.forwarder import ClientRequest
+from fuchsiawell.gateway.execute.outcome import Response
+
+if TYPE_CHECKING:
+    from fuchsiawell.gateway.execute.refusal import Refusal
+    from fuchsiawell.gateway.session.state import Session
+    from fuchsiawell.httpio import RequestHead, ServerConnection
+
+__all__ = ["RequestRecords"]
+
+MAX_LOGGED_PATH_BYTES = 200
+
+
+class RequestRecords:
+    """Log lines and metrics on responses, failures, and connections that end without a response."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    def result(
+        self, request: ClientRequest | Refusal, result: Response | Refusal, took_s: float
+    ) -> None:
+        """Log a refusal, and count and time any response that was sent."""
+        session = self._session
+        session.metrics.observe("request_time", took_s)
+        if isinstance(result, Response):
+            session.metrics.count("answers", str(result.head.status))
+            return
+        session.metrics.count("refusals", str(result.status))
+        session.request_log.write(
+            "request refused",
+            request=request.request_id if isinstance(request, ClientRequest) else None,
+            route=request.route.name if isinstance(request, ClientRequest) else None,
+            status=result.status,
+            why=result.reason,
+            took_ms=round(took_s * 1000),
+            come_back_ms=(
+                None
+                if result.retry_after is None
+                else round(result.retry_after.total_seconds() * 1000)
+            ),
+        )
+
+    def internal_error(
+        self,
+        connection: ServerConnection,
+        request: ClientRequest | Refusal | None,
+        step: str,
+        error: BaseException,
+    ) -> None:
+        """Log a fault of the daemon."""
+        known = request if isinstance(request, ClientRequest) else None
+        self._session.metrics.count("internal_errors", step)
+        self._session.log.warning(
+            "internal error",
+            request=known.request_id if known else None,
+            path=None if known or connection.head is None else _path(connection.head),
+            step=step,
+            peer=connection.channel.peer,
+            error=repr(error),
+        )
+
+    def unanswered(
+        self,
+        connection: ServerConnection,
+        request: ClientRequest | Refusal,
+        step: str,
+        error: BaseException,
+        started_s: float,
+    ) -> None:
+        """Log a request whose connection ends before its response is complete."""
+        channel, session = connection.channel, self._session
+        known = request if isinstance(request, ClientRequest) else None
+        left = channel.at_eof
+        session.metrics.count("unanswered", channel.end_reason if left else f"failed to {step}")
+        session.request_log.write(
+            "client left" if left else "request unanswered",
+            request=known.request_id if known else None,
+            route=known.route.name if known else None,
+            path=None if known or connection.head is None else _path(connection.head),
+            tries=len(known.attempted_backends) if known else 0,
+            took_ms=round((session.now_s - started_s) * 1000),
+            left_ms=round((known.deadline_s - session.now_s) * 1000) if known else None,
+            step=step,
+            peer=channel.peer,
+            how=channel.end_reason if left else repr(error),
+            body_read=connection.body_complete,
+        )
+
+    def unread(self, connection: ServerConnection, why: str) -> None:
+        """Log the close of a connection on which part of a request has arrived."""
+        channel = connection.channel
+        if channel.at_eof or not connection.next_request_started:
+            return
+        self._session.metrics.count("closed_unread", why)
+        self._session.request_log.write(
+            "connection closed with unread data",
+            peer=channel.peer,
+            why=why,
+            unread_bytes=channel.unread_bytes,
+        )
+
+
+def _path(head: RequestHead) -> str:
+    """Return the path without its query, shortened for logs."""
+    return head.target.split(b"?", 1)[0][:MAX_LOGGED_PATH_BYTES].decode("latin-1")
