Start a control loop again that ends by a cancelled future

Found by reading: run_control_loop caught Exception only. A loop that awaits something that is cancelled ends with CancelledError, its task too, and nothing logs it, restarts it or reports the daemon as broken. No such future is known; a watch, a membership or settings loop would be gone in silence. Before: test_a_loop_that_ends_by_a_cancelled_future_is_started_again (starts, alive) was (1, False), expected (2, True). Change: only a cancellation of the loop's own task ends it.

--- a/libs/gateway/src/fuchsiawell/gateway/control/control_loop.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/control_loop.py
@@ -35,6 +35,12 @@
         reason = "it returned"
         try:
             await run()
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # Of something that the loop awaited.
+            reason = repr(error)
         except Exception as error:
             reason = repr(error)
         failures_s.append(session.now_s)
--- a/libs/gateway/tests/test_control_loop.py
+++ b/libs/gateway/tests/test_control_loop.py
@@ -85,3 +85,26 @@
     _, broken = run_loop(loop, 30.0 * MAX_FAILURES * 3)
     assert not broken
     assert loop.starts > MAX_FAILURES
+
+
+# Guards against a loop that is gone without anyone noticing, when something that it awaits is
+# cancelled.
+async def test_a_loop_that_ends_by_a_cancelled_future_is_started_again() -> None:
+    starts = 0
+
+    async def run() -> None:
+        nonlocal starts
+        starts += 1
+        if starts == 1:
+            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            future.cancel()
+            await future
+        await asyncio.Event().wait()
+
+    broken: list[str] = []
+    task = asyncio.create_task(run_control_loop("test loop", run, session(), broken.append))
+    await asyncio.wait({task}, timeout=1.0)
+    assert (starts, task.done(), broken) == (2, False, [])
+    task.cancel()
+    await asyncio.wait({task})
+    assert task.cancelled()
