Answer a request whose streamed body is malformed at once

What callers saw: a body that turns out to be malformed or too long behind its first 1 MiB, which are buffered, was answered 504 at the deadline, and held a server until then. Cause: the task that sends the body ended with BadRequestError, which only the end of BackendClient.send looked at and swallowed; the wait for the response went on. Before: test_body_that_is_broken_behind_its_buffered_part_is_answered_at_once: no status line within 1 s (deadline 3 s). Change: the connection to the server is reset and the error raised, so that the server is not counted as failed. After: this test passes, with test_forwarder, test_frontend, test_client_connections, test_end_to_end, test_endless_responses_in_time.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -88,7 +88,8 @@
     ) -> Outcome:
         """Send a request and wait for the response until the monotonic time `deadline_s`.
 
-        Cancelling the call resets the connection.
+        Cancelling the call resets the connection; so does a malformed rest of the body, for which
+        BadRequestError is raised.
         """
         try:
             async with asyncio.timeout(deadline_s - self._clock.monotonic()):
@@ -114,15 +115,19 @@
                 outgoing = RequestHead(head.method, head.target, fields)
                 exchange = connection.start(outgoing, length_bytes)
                 if body.fully_buffered and len(body.buffered) <= MAX_INLINE_BODY_BYTES:
-                    await _send_body(exchange, body)
+                    await _send_body(exchange, body, connection)
                 else:
-                    send_task = asyncio.get_running_loop().create_task(_send_body(exchange, body))
+                    send_task = asyncio.get_running_loop().create_task(
+                        _send_body(exchange, body, connection)
+                    )
                 outcome = await self._receive(target, connection, exchange, request_id)
             completed = True
             return outcome
         except TimeoutError:
             return OutcomeUnknown("answer", target.peer, "no answer in time", timed_out=True)
         except (OSError, InvalidResponseError) as error:
+            if send_task is not None and (body_error := _body_error(send_task)) is not None:
+                raise body_error from error
             if connection.exchange_count > 1:
                 self._pool.discard(target.incarnation_id)
             return OutcomeUnknown("answer", target.peer, str(error) or type(error).__name__)
@@ -224,7 +229,7 @@
     return False
 
 
-async def _send_body(exchange: Exchange, body: RequestBody) -> None:
+async def _send_body(exchange: Exchange, body: RequestBody, connection: ClientConnection) -> None:
     try:
         if body.buffered:
             await exchange.send_body_chunk(body.buffered)
@@ -235,6 +240,18 @@
     except ConnectionError:
         # The server may have responded all the same; the read of the response decides.
         return
+    except BadRequestError:
+        # The server would wait for the rest until the deadline.
+        connection.abort()
+        raise
+
+
+def _body_error(send_task: asyncio.Task[None]) -> BadRequestError | None:
+    """Return the error of the client's body that has ended the sending, if any."""
+    if not send_task.done() or send_task.cancelled():
+        return None
+    error = send_task.exception()
+    return error if isinstance(error, BadRequestError) else None
 
 
 async def _cancel(send_task: asyncio.Task[None]) -> None:
