Read once more from a connection before its idle timeout closes it

Follows: a request that reaches the host in the iteration of the event loop in which the idle timeout fires is read in the next one, after the step that closed the connection; that close resets it. Before: test_a_request_that_arrives_as_the_idle_timeout_fires_is_returned: None instead of the request. Change: one more iteration before the buffer is looked at. After: libs/httpio/tests/test_server.py, test_client_connections.py, test_frontend.py pass.

--- a/libs/httpio/src/fuchsiawell/httpio/server.py
+++ b/libs/httpio/src/fuchsiawell/httpio/server.py
@@ -196,7 +196,9 @@
                     return await self.channel.receive()
             except TimeoutError:
                 # Bytes that are read in the iteration of the loop in which the timeout fires are in
-                # the buffer, though the wait for them was cancelled.
+                # the buffer, though the wait for them was cancelled. One more iteration reads those
+                # that arrived while the loop was held up.
+                await asyncio.sleep(0)
                 if self.channel.unread_bytes:
                     return await self.channel.receive()
             previous_timeout_s, timeout_s = timeout_s, self._wait_limit_s(head_started)
--- a/libs/httpio/tests/test_server.py
+++ b/libs/httpio/tests/test_server.py
@@ -157,6 +157,28 @@
     run_in_virtual_time(read_request())
 
 
+# Guards against a request that is dropped with its connection because it reaches the host while the
+# event loop is held up and the idle timeout fires: the read of its socket is due in the iteration
+# that ends the wait (issue 26).
+def test_a_request_that_arrives_as_the_idle_timeout_fires_is_returned() -> None:
+    async def read_request() -> None:
+        channel = Channel()
+        connection = ServerConnection(channel, lambda: LIMITS)
+        loop = asyncio.get_running_loop()
+        # In the iteration in which the timeout fires, after it.
+        loop.call_at(
+            loop.time() + LIMITS.idle_timeout_s + 1e-10,
+            lambda: loop.call_soon(
+                channel.data_received, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n"
+            ),
+        )
+        head = await connection.next_request()
+        assert head is not None
+        assert head.target == b"/late"
+
+    run_in_virtual_time(read_request())
+
+
 # Guards against refusing a request with 408 whose last bytes are read as the timeout fires.
 def test_a_head_completed_as_its_timeout_fires_is_returned() -> None:
     async def read_request() -> None:
