--- a/libs/httpio/tests/test_server.py
+++ b/libs/httpio/tests/test_server.py
@@ -168,9 +168,7 @@
         # In the iteration in which the timeout fires, after it.
         loop.call_at(
             loop.time() + LIMITS.idle_timeout_s + 1e-10,
-            lambda: loop.call_soon(
-                channel.data_received, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n"
-            ),
+            lambda: loop.call_soon(channel.data_received, b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n"),
         )
         head = await connection.next_request()
         assert head is not None
