--- a/libs/gateway/tests/test_client_departures.py
+++ b/libs/gateway/tests/test_client_departures.py
@@ -6,11 +6,11 @@
 from dataclasses import replace
 
 import pytest
+from test_frontend import FrontendHarness
 
 from fuchsiawell.httpio import RequestHead
 
 from builders import configuration
-from test_frontend import FrontendHarness
 
 POST = RequestHead(b"POST", b"/a/1", [(b"host", b"a.example")])
 NOTICE_TIMEOUT_S = 0.5
