Count first tries at daemons that are cut off from all servers, as the rule does

An audit for the tests and the soak: a cut breaks the rule when, from 3 s after its beginning, first tries at the cut daemons are served less than two thirds as often as at the others and more than 10 + 1 in 50 of all fail there. 15 cases, among them the figures of the users' record (5 of 652 against 138 of 536).

--- /dev/null
+++ b/libs/soak/tests/test_recover_audit.py
@@ -0,0 +1,60 @@
+"""The audit of daemons that are cut off from all servers counts as the rule does."""
+
+from __future__ import annotations
+
+import pytest
+
+from fuchsiawell.soak.recover_audit import RecoverAudit
+
+
+def audit(cut: tuple[int, int], others: tuple[int, int], sent_s: float = 14.0) -> RecoverAudit:
+    """Return the audit of a cut from 10 to 20 s, with (served, sent) first tries at one time."""
+    result = RecoverAudit()
+    result.record_cut({"d-1", "d-2"}, 10.0, 20.0)
+    for daemon, (served, sent) in (("d-1", cut), ("d-3", others)):
+        for number in range(sent):
+            result.record_first_try(daemon, sent_s, number < served)
+    return result
+
+
+@pytest.mark.parametrize(
+    ("cut", "others", "broken"),
+    [
+        ((0, 100), (300, 300), True),
+        ((65, 100), (300, 300), True),
+        ((67, 100), (300, 300), False),
+        # Less than two thirds as often, but no more failures than are tolerated.
+        ((0, 10), (300, 300), False),
+        ((0, 16), (300, 300), False),
+        ((0, 17), (300, 300), True),
+        # The others are served badly too.
+        ((5, 652), (138, 536), True),
+        ((200, 652), (138, 536), False),
+        # Nobody else serves.
+        ((0, 100), (0, 100), False),
+        ((0, 100), (0, 0), False),
+    ],
+)
+def test_first_tries_at_cut_daemons_are_compared_with_the_others(
+    cut: tuple[int, int], others: tuple[int, int], broken: bool
+) -> None:
+    assert bool(audit(cut, others).violations()) == broken
+
+
+@pytest.mark.parametrize("sent_s", [9.9, 12.9, 20.0])
+def test_first_tries_outside_the_counted_time_do_not_count(sent_s: float) -> None:
+    assert not audit((0, 100), (100, 100), sent_s).violations()
+
+
+def test_tries_at_disturbed_daemons_do_not_count() -> None:
+    result = audit((0, 100), (100, 100))
+    result.record_disturbance("d-1", 8.0, 11.5)
+    assert not result.violations()
+
+
+def test_daemons_of_another_cut_are_not_compared_with() -> None:
+    result = audit((90, 100), (100, 100))
+    result.record_cut({"d-4"}, 5.0, 12.0)
+    for _ in range(1000):
+        result.record_first_try("d-4", 14.0, False)
+    assert not result.violations()
