--- a/libs/standins/src/fuchsiawell/standins/__init__.py
+++ b/libs/standins/src/fuchsiawell/standins/__init__.py
@@ -1,9 +1,10 @@
-"""Test doubles: an in-memory store with fault injection, virtual time and connections."""
+"""Test doubles: an in-memory store with faults, virtual time, connections, packet loss."""
 
 from __future__ import annotations
 
 from fuchsiawell.standins.memory_datagrams import MemoryDatagrams
 from fuchsiawell.standins.memory_store import MemoryStore
+from fuchsiawell.standins.packet_loss import FilteredSocket, lose_packets
 from fuchsiawell.standins.ports import free_ports
 from fuchsiawell.standins.virtual_time import (
     MemoryNetwork,
@@ -13,11 +14,13 @@
 )
 
 __all__ = [
+    "FilteredSocket",
     "MemoryDatagrams",
     "MemoryNetwork",
     "MemoryStore",
     "VirtualClock",
     "free_ports",
     "host_pair",
+    "lose_packets",
     "run_in_virtual_time",
 ]
