Play hosts that are cut from all servers, whole daemons in virtual time

Change: virtual hosts (listeners, connections and datagrams of the loop stay in memory, by the host on which a task was started), cuts between two hosts in four modes with the kernel's timeouts, a store view per daemon, and a site of whole daemons (`Application`): 11 in 4 zones, 8 servers that own keys and 4 that do not, requests of all kinds with deadlines of 1 to 4 s. Hosts are cut from second 8 to 20. Checked: RecoverAudit, one owner of a key at a time, non-idempotent requests run at most once and not after a refusal, each request answered, all first tries served from 3 s after the cut.

MemoryNetwork moved to a module of its own; an abort now resets the other end.

--- a/libs/standins/src/fuchsiawell/standins/memory_datagrams.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_datagrams.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextvars import copy_context
 from typing import TYPE_CHECKING, Any
 
-from fuchsiawell.standins.virtual_time import host_pair
+from fuchsiawell.standins.memory_network import host_pair
 
 if TYPE_CHECKING:
+    from contextvars import Context
     from random import Random
 
 __all__ = ["MemoryDatagrams"]
@@ -17,7 +19,7 @@
     """Deliver datagrams by the name of the receiving host.
 
     `silent` pairs of hosts do not reach each other; datagrams to `frozen` hosts arrive when they
-    are thawed.
+    are thawed. Each protocol is called in the context in which it was attached.
     """
 
     def __init__(self, random: Random, delay_s: float = 0.0, loss: float = 0.0) -> None:
@@ -27,11 +29,11 @@
         self.sent = 0
         self._random = random
         self._frozen: dict[str, list[tuple[bytes, str]]] = {}
-        self._protocol_by_host: dict[str, asyncio.DatagramProtocol] = {}
+        self._protocol_by_host: dict[str, tuple[asyncio.DatagramProtocol, Context]] = {}
 
     def attach(self, host: str, protocol: asyncio.DatagramProtocol) -> None:
         """Connect a host's protocol; it replaces an earlier one of that host."""
-        self._protocol_by_host[host] = protocol
+        self._protocol_by_host[host] = protocol, copy_context()
         protocol.connection_made(_MemoryTransport(self, host))
 
     def detach(self, host: str) -> None:
@@ -61,9 +63,10 @@
         if held is not None:
             held.append((data, sender))
             return
-        protocol = self._protocol_by_host.get(receiver)
-        if protocol is not None:
-            protocol.datagram_received(data, (sender, 0))
+        attached = self._protocol_by_host.get(receiver)
+        if attached is not None:
+            protocol, context = attached
+            context.copy().run(protocol.datagram_received, data, (sender, 0))
 
 
 class _MemoryTransport(asyncio.DatagramTransport):
--- a/libs/standins/src/fuchsiawell/standins/memory_store.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_store.py
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from datetime import timedelta
 
     from fuchsiawell.core import Clock
@@ -53,6 +53,11 @@
         self.responses_to_lose = 0
         self.call_count = 0
 
+    @property
+    def items(self) -> Mapping[str, Item]:
+        """All keys, also while the store is unavailable."""
+        return self._items
+
     async def get(self, key: str) -> Item | None:
         self._start_call("get")
         return self._items.get(key)
