Judge from failed connections and probes whether any server is reached

Nothing told "no server is reached from here" from "this server is down": a daemon cut from all servers went on deciding for the others by its own view. `Reachability` (no clock, no network) keeps the connections, responses and failures that the callers record; only probes begin or end a cut. It is `session.reachability`; nothing records into it or reads it yet.

--- a/libs/balance/src/fuchsiawell/balance/__init__.py
+++ b/libs/balance/src/fuchsiawell/balance/__init__.py
@@ -22,6 +22,7 @@
 from fuchsiawell.balance.permit_waits import PermitWaits
 from fuchsiawell.balance.poison_requests import PoisonRequestDetector
 from fuchsiawell.balance.rate_limits import RateLimit, RateLimits
+from fuchsiawell.balance.reachability import Reachability
 from fuchsiawell.balance.rendezvous import rendezvous_order
 from fuchsiawell.balance.retry_budget import RetryBudget, RetryRules
 from fuchsiawell.balance.server_rests import MAX_REST_S, ServerRests
@@ -45,6 +46,7 @@
     "QueuedRequest",
     "RateLimit",
     "RateLimits",
+    "Reachability",
     "RetryBudget",
     "RetryRules",
     "ServerRests",
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -14,6 +14,7 @@
     PermitWaits,
     PoisonRequestDetector,
     RateLimits,
+    Reachability,
     RetryBudget,
     ServerRests,
     free_capacity,
@@ -113,6 +114,7 @@
         self.current_until_s = clock.monotonic()
         self.latency_estimates = LatencyEstimates()
         self.outlier_detector = OutlierDetector()
+        self.reachability = Reachability()
         self.in_flight_counts = InFlightCounts()
         self.rate_limits = RateLimits()
         self.permit_waits = PermitWaits()
@@ -271,6 +273,7 @@
         """Discard latency, failures, rate limit and rest of an earlier incarnation."""
         self.latency_estimates.forget(backend_id)
         self.outlier_detector.forget(backend_id)
+        self.reachability.forget(backend_id)
         self.rate_limits.forget(backend_id)
         self.server_rests.forget(backend_id)
         self.permit_waits.forget(backend_id)
