--- a/libs/balance/src/fuchsiawell/balance/__init__.py
+++ b/libs/balance/src/fuchsiawell/balance/__init__.py
@@ -23,6 +23,7 @@
 from fuchsiawell.balance.poison_requests import PoisonRequestDetector
 from fuchsiawell.balance.rate_limits import RateLimit, RateLimits
 from fuchsiawell.balance.reachability import Reachability
+from fuchsiawell.balance.relay_selection import RelayCandidate, RelaySelector
 from fuchsiawell.balance.rendezvous import rendezvous_order
 from fuchsiawell.balance.retry_budget import RetryBudget, RetryRules
 from fuchsiawell.balance.server_rests import MAX_REST_S, ServerRests
@@ -47,6 +48,8 @@
     "RateLimit",
     "RateLimits",
     "Reachability",
+    "RelayCandidate",
+    "RelaySelector",
     "RetryBudget",
     "RetryRules",
     "ServerRests",
