Move requests, the sending of bodies and the reading of responses into own modules

A client of other daemons will send bodies and read responses as the client of servers does, and the forwarder needs room.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -8,10 +8,14 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
-from fuchsiawell.gateway.execute.remainder import Remainder
+from fuchsiawell.gateway.execute.body_sending import (
+    body_error,
+    cancel_sending,
+    start_sending,
+)
+from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown
+from fuchsiawell.gateway.execute.response_reading import drain, read_response
 from fuchsiawell.httpio import (
-    BadRequestError,
     ClientConnection,
     Exchange,
     InvalidResponseError,
@@ -30,14 +34,6 @@
 
 __all__ = ["BackendClient", "Target"]
 
-# Responses up to this size are read completely before any part is sent to the client: if one is
-# truncated, the client can still get an error status, or the request another attempt.
-MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
-# Time to read the body of a response that is not passed on, so that its connection can be reused.
-DRAIN_TIMEOUT_S = 0.1
-# Bodies up to this size are sent before reading the response; longer ones concurrently with it.
-MAX_INLINE_BODY_BYTES = 16 * 1024
-
 
 @dataclass(frozen=True)
 class Target:
@@ -114,26 +110,20 @@
             async with asyncio.timeout(remaining.total_seconds()):
                 outgoing = RequestHead(head.method, head.target, fields)
                 exchange = connection.start(outgoing, length_bytes)
-                if body.fully_buffered and len(body.buffered) <= MAX_INLINE_BODY_BYTES:
-                    await _send_body(exchange, body, connection)
-                else:
-                    send_task = asyncio.get_running_loop().create_task(
-                        _send_body(exchange, body, connection)
-                    )
+                send_task = await start_sending(exchange, body, connection)
                 outcome = await self._receive(target, connection, exchange, request_id)
             completed = True
             return outcome
         except TimeoutError:
             return OutcomeUnknown("answer", target.peer, "no answer in time", timed_out=True)
         except (OSError, InvalidResponseError) as error:
-            if send_task is not None and (body_error := _body_error(send_task)) is not None:
-                raise body_error from error
+            if (error_of_body := body_error(send_task)) is not None:
+                raise error_of_body from error
             if connection.exchange_count > 1:
                 self._pool.discard(target.incarnation_id)
             return OutcomeUnknown("answer", target.peer, str(error) or type(error).__name__)
         finally:
-            if send_task is not None:
-                await _cancel(send_task)
+            await cancel_sending(send_task)
             if not completed:
                 connection.abort()
 
@@ -167,21 +157,13 @@
         self._rest_tracker.record_response(target.backend_id, target.incarnation_id, metadata)
         failure = _failure(target, head, metadata)
         if failure is not None:
-            if await _drain(exchange):
+            if await drain(exchange):
                 self._return_connection(target, connection, exchange)
             else:
                 connection.abort()
             return failure
-        buffered = bytearray()
-        while len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES:
-            chunk = await exchange.read_body_chunk()
-            if chunk is None:
-                self._return_connection(target, connection, exchange)
-                return Response(head, bytes(buffered))
-            buffered += chunk
         release = partial(self._return_connection, target, connection, exchange)
-        remainder = Remainder(head, bytes(buffered), exchange, connection, release)
-        return Response(head, b"", remainder)
+        return await read_response(head, exchange, connection, release)
 
 
 def _failure(
@@ -212,51 +194,3 @@
             server_rests=server_rests,
         )
     return None
-
-
-async def _drain(exchange: Exchange) -> bool:
-    """Read the body of a response that is not passed on; return whether its end has come."""
-    read_bytes = 0
-    try:
-        async with asyncio.timeout(DRAIN_TIMEOUT_S):
-            while read_bytes <= MAX_BUFFERED_RESPONSE_BYTES:
-                chunk = await exchange.read_body_chunk()
-                if chunk is None:
-                    return True
-                read_bytes += len(chunk)
-    except TimeoutError:
-        return False
-    return False
-
-
-async def _send_body(exchange: Exchange, body: RequestBody, connection: ClientConnection) -> None:
-    try:
-        if body.buffered:
-            await exchange.send_body_chunk(body.buffered)
-        if not body.fully_buffered:
-            while (chunk := await body.read_chunk()) is not None:
-                await exchange.send_body_chunk(chunk)
-        await exchange.finish_body()
-    except ConnectionError:
-        # The server may have responded all the same; the read of the response decides.
-        return
-    except BadRequestError:
-        # The server would wait for the rest until the deadline.
-        connection.abort()
-        raise
-
-
-def _body_error(send_task: asyncio.Task[None]) -> BadRequestError | None:
-    """Return the error of the client's body that has ended the sending, if any."""
-    if not send_task.done() or send_task.cancelled():
-        return None
-    error = send_task.exception()
-    return error if isinstance(error, BadRequestError) else None
-
-
-async def _cancel(send_task: asyncio.Task[None]) -> None:
-    send_task.cancel()
-    try:
-        await send_task
-    except (asyncio.CancelledError, BadRequestError, ConnectionError):
-        return
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import zlib
-from collections import Counter
-from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.control.peer_messages import CrashReport, SuspicionCleared
+from fuchsiawell.gateway.execute.client_request import ClientRequest
 from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.refusal import (
     Refusal,
@@ -20,7 +19,6 @@
 )
 from fuchsiawell.gateway.session.state import InFlightRequest
 from fuchsiawell.httpio import connect, first_value
-from fuchsiawell.routing import Idempotency
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.control.peers import PeerMessenger
@@ -30,7 +28,6 @@
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.httpio import RequestHead
-    from fuchsiawell.routing import Route
 
 __all__ = ["ClientRequest", "Forwarder"]
 
@@ -48,31 +45,6 @@
 MIN_RETRY_TIME_FRACTION = 0.4
 
 
-@dataclass
-class ClientRequest:
-    """A client's request; times are monotonic seconds."""
-
-    head: RequestHead
-    request_id: str
-    route: Route
-    service: str
-    key: int | None
-    body: RequestBody
-    arrived_s: float
-    deadline_s: float
-    fingerprint: int
-    attempted_backends: list[str] = field(default_factory=list)
-    # Whether a server may have executed it, or may be executing it.
-    maybe_executed: bool = False
-    # How often the owner of the key under a fencing token reported that it does not own the key.
-    refusals_by_fence: Counter[int] = field(default_factory=Counter)
-
-    @property
-    def idempotent(self) -> bool:
-        """Return whether it may be executed more than once."""
-        return self.route.idempotency is Idempotency.IDEMPOTENT
-
-
 class Forwarder:
     """Forward client requests to backend servers."""
 
