Send requests through another daemon while this one reaches no server

Change: `Relaying` asks up to six daemons, `RelayClient` sends the request as it is to the port after the one for messages between daemons, with one field of ours, and `RelayFrontend` serves it there as its own: queues, permits, rests, budgets, key counts and crash suspicion are those of the relay. It refuses what it cannot send itself (cut off, stopping, older configuration) before anything is sent, so that another daemon is asked, and never sends a request on. Its answer says whether a server, or it itself, has answered, and which server, so that the origin learns of limits and leaving. A request that waits in `Placement` when the cut begins goes through a relay at once. A daemon whose relay port is taken serves all the same and says so in its log.

Harness and soak reserve the port after that for messages.

Six relays instead of the three of the design: where most daemons are cut, three refusals, which take one round trip each, would end many first requests.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -25,6 +25,9 @@
 from fuchsiawell.gateway.execute.frontend import FINAL_RESPONSE_TIMEOUT_S, Frontend
 from fuchsiawell.gateway.execute.placement import Placement
 from fuchsiawell.gateway.execute.rate_limiting import RateLimiting
+from fuchsiawell.gateway.execute.relay_client import RelayClient
+from fuchsiawell.gateway.execute.relay_frontend import RelayFrontend
+from fuchsiawell.gateway.execute.relaying import Relaying
 from fuchsiawell.gateway.operators.page_server import PageServer
 from fuchsiawell.httpio import Channel
 
@@ -81,6 +84,10 @@
             f"{b.id}/{b.incarnation}"
         )
         self._rate_limiting = RateLimiting(session, self._peers)
+        self._relay_client = RelayClient(protocol, session.clock)
+        relaying = Relaying(
+            session, self._relay_client, protocol, self._rate_limiting.tracker, leaving_tracker
+        )
         forwarder = Forwarder(
             session,
             protocol,
@@ -94,8 +101,10 @@
             ),
             Placement(session, self._rate_limiting.permits),
             self._peers,
+            relaying,
         )
         self._frontend = Frontend(session, forwarder, protocol)
+        self._relay_frontend = RelayFrontend(session, forwarder, protocol)
         self._maintenance = Maintenance(session, self._pool, self._store_watcher)
         self._readiness_server = PageServer(self._readiness_page)
         self._metrics_server = PageServer(self._metrics_page)
@@ -146,6 +155,16 @@
             (settings.clients, self._frontend.create_channel),
         ):
             await self._listen(address, create_channel)
+        try:
+            await self._listen(settings.relay, self._relay_frontend.create_channel)
+        except OSError as error:
+            # Only daemons that reach no server need it, and these can ask others.
+            self._session.log.warning(
+                "requests of daemons not taken",
+                step="listen",
+                peer=str(settings.relay),
+                reason=str(error),
+            )
         for name, run in (
             ("store watch", self._store_watcher.run),
             ("membership", self._membership.run),
@@ -170,8 +189,11 @@
         await asyncio.sleep(UNREADY_LISTEN_S)
         for server in self._servers:
             server.close()
-        self._frontend.close_idle()
-        await self._frontend.wait_idle(stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s)
+        idle_s = stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s
+        frontends = (self._frontend, self._relay_frontend)
+        for frontend in frontends:
+            frontend.close_idle()
+        await asyncio.gather(*(frontend.wait_idle(idle_s) for frontend in frontends))
         for task in (resignation, *self._tasks):
             task.cancel()
         await asyncio.gather(resignation, *self._tasks, return_exceptions=True)
@@ -180,6 +202,7 @@
         self._change_relay.close()
         self._rate_limiting.close()
         self._pool.close()
+        self._relay_client.close()
         self._peers.close()
         self.finish_stopping()  # type: ignore[attr-defined]
 
@@ -200,6 +223,7 @@
         self._rate_limiting.close()
         self._peers.close()
         self._pool.close()
+        self._relay_client.close()
 
     async def _listen(self, address: Address, create_channel: Callable[[], Channel]) -> None:
         loop = asyncio.get_running_loop()
@@ -231,6 +255,7 @@
         session = self._session
         gauges = {
             "busy_requests": self._frontend.in_flight,
+            "busy_hops": self._relay_frontend.in_flight,
             "backends": len(session.directory.by_id),
             "peers": len(session.peers_by_name),
             "configuration_version": session.configuration.version if session.configuration else 0,
--- a/libs/gateway/src/fuchsiawell/gateway/config/settings.py
+++ b/libs/gateway/src/fuchsiawell/gateway/config/settings.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from fuchsiawell.balance import RetryRules
 
-__all__ = ["Address", "Settings"]
+__all__ = ["Address", "Settings", "relay_address"]
 
 # Part of the time within which changes must be in force for which a daemon may rely on knowledge
 # that the store has not confirmed. The rest is for a call to the store, and for requests that a
@@ -28,6 +28,11 @@
         return f"{self.host}:{self.port}"
 
 
+def relay_address(host: str, peers_port: int) -> Address:
+    """Return where a daemon takes requests of daemons that reach no server."""
+    return Address(host, peers_port + 1)
+
+
 @dataclass(frozen=True)
 class Settings:
     daemon: str
@@ -49,6 +54,11 @@
     cores: float = 1.0
     link_mbit_s: float = 1000.0
 
+    @property
+    def relay(self) -> Address:
+        """Return the address for requests of daemons that reach no server."""
+        return relay_address(self.peers.host, self.peers.port)
+
     @property
     def max_store_age(self) -> timedelta:
         """How long a daemon may go on without a confirmation that it knows all store changes."""
--- a/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
@@ -30,14 +30,27 @@
 class ConnectionPool:
     """Idle connections by server incarnation; the most recently used one is reused first."""
 
-    def __init__(self, clock: Clock, daemon_count: Callable[[], int] = lambda: 1) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        daemon_count: Callable[[], int] = lambda: 1,
+        max_idle_per_server: int = MAX_IDLE_PER_SERVER,
+        max_idle: int | None = None,
+    ) -> None:
         self._clock = clock
         self._daemon_count = daemon_count
+        self._max_idle_per_server = max_idle_per_server
+        self._max_idle = max_idle
         self._idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
 
     async def acquire(
-        self, incarnation_id: str, host: str, port: int, require_fresh: bool
+        self,
+        incarnation_id: str,
+        host: str,
+        port: int,
+        require_fresh: bool,
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> ClientConnection:
         """Return an idle or new connection; raises OSError.
 
@@ -56,12 +69,15 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await connect(host, port, CONNECT_TIMEOUT_S)
+        return await connect(host, port, timeout_s)
 
     def release(self, incarnation_id: str, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable or the pool is full."""
         idle = self._idle.setdefault(incarnation_id, [])
-        if not connection.usable or len(idle) >= self._max_idle:
+        is_full = len(idle) >= self._max_idle_now or (
+            self._max_idle is not None and self.idle_count >= self._max_idle
+        )
+        if not connection.usable or is_full:
             connection.close()
             return
         connection.idle_since_s = self._clock.monotonic()
@@ -72,21 +88,25 @@
         return bool(self._idle.get(incarnation_id))
 
     @property
-    def _max_idle(self) -> int:
-        return max(
-            1, min(MAX_IDLE_PER_SERVER, MAX_IDLE_PER_SERVER_ALL_DAEMONS // self._daemon_count())
-        )
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle.values()))
+
+    @property
+    def _max_idle_now(self) -> int:
+        per_daemon = MAX_IDLE_PER_SERVER_ALL_DAEMONS // self._daemon_count()
+        return max(1, min(self._max_idle_per_server, per_daemon))
 
     def discard(self, incarnation_id: str) -> None:
         """Abort all idle connections to a server after one of them failed."""
         for connection in self._idle.pop(incarnation_id, []):
             connection.abort()
 
-    def evict_stale(self, incarnation_ids: set[str]) -> None:
-        """Close connections to incarnations not listed, and those idle for too long."""
+    def evict_stale(self, incarnation_ids: set[str] | None = None) -> None:
+        """Close connections to incarnations not listed, if given, and those idle for too long."""
         now_s = self._clock.monotonic()
         for incarnation_id in list(self._idle):
-            if incarnation_id not in incarnation_ids:
+            if incarnation_ids is not None and incarnation_id not in incarnation_ids:
                 for connection in self._idle.pop(incarnation_id):
                     connection.close()
                 continue
@@ -99,7 +119,10 @@
                     usable.append(connection)
                 else:
                     connection.close()
-            self._idle[incarnation_id] = usable
+            if usable:
+                self._idle[incarnation_id] = usable
+            else:
+                del self._idle[incarnation_id]
 
     def close(self) -> None:
         self.evict_stale(set())
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -25,6 +25,8 @@
     from fuchsiawell.gateway.execute.backend_client import BackendClient, Target
     from fuchsiawell.gateway.execute.body import RequestBody
     from fuchsiawell.gateway.execute.placement import Placement
+    from fuchsiawell.gateway.execute.relay_messages import RelayOrder
+    from fuchsiawell.gateway.execute.relaying import Relaying
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.httpio import RequestHead
@@ -55,19 +57,24 @@
         backend_client: BackendClient,
         placement: Placement,
         peers: PeerMessenger,
+        relaying: Relaying | None = None,
     ) -> None:
         self._session = session
         self._protocol = protocol
         self._backend_client = backend_client
         self._placement = placement
         self._peers = peers
+        self._relaying = relaying
         self._last_attempt_id = 0
         self._probes: set[asyncio.Task[None]] = set()
 
     def prepare(
-        self, head: RequestHead, body: RequestBody, now_s: float
+        self, head: RequestHead, body: RequestBody, now_s: float, order: RelayOrder | None = None
     ) -> ClientRequest | Refusal:
-        """Find the route, service and deadline of a request that arrived at `now_s`."""
+        """Find the route, service and deadline of a request that arrived at `now_s`.
+
+        `order` is given if another daemon has sent it.
+        """
         session = self._session
         configuration = session.configuration
         if configuration is None:
@@ -80,7 +87,10 @@
         route = configuration.find_route(host.partition(":")[0], path)
         if route is None:
             return unknown_route(f"no route for {host}{path}")
-        service = session.traffic_splitter.next_service(route)
+        if order is not None and order.version == configuration.version:
+            service: str | None = order.service
+        else:
+            service = session.traffic_splitter.next_service(route)
         if service is None:
             return not_executed(f"route {route.name} has no service", DEFAULT_RETRY_AFTER_S)
         timeout_s = (
@@ -93,9 +103,12 @@
             service=service,
             key=metadata.key,
             body=body,
-            arrived_s=now_s,
+            arrived_s=now_s - (0.0 if order is None else order.age_ms / 1000),
             deadline_s=now_s + min(timeout_s, route.timeout.total_seconds()),
             fingerprint=0,
+            order=order,
+            may_relay=self._relaying is not None and order is None,
+            counted=order is not None and order.counted,
         )
 
     async def serve(self, request: ClientRequest) -> Response | Refusal:
@@ -105,10 +118,8 @@
         request.fingerprint = zlib.crc32(
             request.body.buffered, zlib.crc32(request.head.target, zlib.crc32(route.host.encode()))
         )
-        session.metrics.count("requests", route.name)
-        session.retry_budget.record_request(request.service, session.now_s)
-        if request.key is not None:
-            session.count_key(request.service, request.key)
+        if request.order is None:
+            session.metrics.count("requests", route.name)
         if session.poison_detector.is_poison(request.fingerprint, session.now_s):
             self._log("refused", request, why="crashes servers")
             return not_executed(
@@ -123,30 +134,43 @@
         outcome: Outcome | None = None
         error_response: Response | None = None
         while True:
+            if self._relaying is not None and self._relaying.is_due(request):
+                if request.reached_server and not self._acquire_retry(request):
+                    return error_response or self._final_refusal(request, outcome)
+                answer = await self._relaying.send(request)
+                if isinstance(answer, Response):
+                    return answer
+                if isinstance(answer, Refusal):
+                    if request.maybe_executed and answer.retry_after is not None:
+                        answer = bad_gateway(answer.reason)
+                    return error_response or answer
+                if answer is not None:
+                    outcome = answer
+                    if not self._may_retry(request, outcome):
+                        return error_response or self._final_refusal(request, outcome)
+                continue
+            self._count(request)
             target = await self._placement.place(request)
+            if target is None:
+                continue
             if isinstance(target, Refusal):
-                self._log(
-                    "not placed", request, why=target.reason, tries=len(request.attempted_backends)
-                )
+                self._log("not placed", request, why=target.reason, tries=request.attempts)
                 if request.maybe_executed:
                     return error_response or bad_gateway(target.reason)
                 return target
-            if request.attempted_backends and not session.retry_budget.try_acquire(
-                request.service, session.daemon_count, session.now_s
-            ):
+            if request.attempts and not self._acquire_retry(request):
                 self._placement.release(target)
-                self._log(
-                    "no retry", request, why="retry budget", tries=len(request.attempted_backends)
-                )
                 return error_response or self._final_refusal(request, outcome)
             request.attempted_backends.append(target.backend_id)
             maybe_executed_before, request.maybe_executed = request.maybe_executed, True
             outcome = await self._attempt(request, target)
+            if not (isinstance(outcome, NotExecuted) and outcome.step == "connect"):
+                request.reached_server = True
             match outcome:
                 case Response(
                     head, remainder=None
                 ) if head.status >= MIN_SERVER_ERROR_STATUS and self._may_execute_again(request):
-                    error_response = outcome
+                    error_response, request.served_by = outcome, target
                     self._log(
                         "try failed",
                         request,
@@ -158,6 +182,7 @@
                     )
                     continue
                 case Response():
+                    request.served_by = target
                     if session.poison_detector.clear(request.fingerprint):
                         self._broadcast_cleared(request.fingerprint)
                     return outcome
@@ -179,13 +204,27 @@
                 request.refusals_by_fence[target.fence] += 1
                 await asyncio.sleep(GRANT_DELIVERY_S)
 
+    def _count(self, request: ClientRequest) -> None:
+        """Count a request once for the retry budget and the rates of keys."""
+        if request.counted:
+            return
+        request.counted = True
+        session = self._session
+        session.retry_budget.record_request(request.service, session.now_s)
+        if request.key is not None:
+            session.count_key(request.service, request.key)
+
+    def _acquire_retry(self, request: ClientRequest) -> bool:
+        session = self._session
+        if session.retry_budget.try_acquire(request.service, session.daemon_count, session.now_s):
+            return True
+        self._log("no retry", request, why="retry budget", tries=request.attempts)
+        return False
+
     def _may_retry(self, request: ClientRequest, outcome: NotExecuted | OutcomeUnknown) -> bool:
         if isinstance(outcome, OutcomeUnknown):
             return not outcome.timed_out and self._may_execute_again(request)
-        if (
-            not request.body.replayable
-            or len(request.attempted_backends) > request.route.max_attempts + 1
-        ):
+        if not request.body.replayable or request.attempts > request.max_attempts + 1:
             return False
         return self._has_time_to_retry(request)
 
@@ -194,7 +233,7 @@
         return (
             request.idempotent
             and request.body.replayable
-            and len(request.attempted_backends) < request.route.max_attempts
+            and request.attempts < request.max_attempts
             and self._has_time_to_retry(request)
         )
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.execute.body import RequestBody
-from fuchsiawell.gateway.execute.forwarder import ClientRequest
+from fuchsiawell.gateway.execute.client_request import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, bad_gateway, not_executed, timed_out
+from fuchsiawell.gateway.execute.relay_messages import PRIVATE_FIELDS, without_private_fields
 from fuchsiawell.gateway.execute.request_records import RequestRecords
 from fuchsiawell.httpio import (
     CLIENT_TIMEOUTS,
@@ -25,7 +26,7 @@
     from fuchsiawell.gateway.execute.outcome import Response
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.gateway.session.state import Session
-    from fuchsiawell.httpio import RequestHead
+    from fuchsiawell.httpio import Fields, RequestHead
 
 __all__ = ["Frontend"]
 
@@ -169,9 +170,14 @@
         except (Exception, asyncio.CancelledError) as error:
             self._records.unanswered(connection, request, step, error, started_s)
             raise
-        self._records.result(request, result, session.now_s - started_s)
+        self._record_result(request, result, session.now_s - started_s)
         return not close_after
 
+    def _record_result(
+        self, request: ClientRequest | Refusal, result: Response | Refusal, took_s: float
+    ) -> None:
+        self._records.result(request, result, took_s)
+
     def _prepare(
         self, connection: ServerConnection, head: RequestHead, started_s: float
     ) -> ClientRequest | Refusal:
@@ -182,12 +188,18 @@
             configuration.limits.max_body_bytes if configuration else DEFAULT_MAX_BODY_BYTES
         )
         try:
-            return self._forwarder.prepare(head, RequestBody(connection, max_body_bytes), started_s)
+            body = RequestBody(connection, max_body_bytes)
+            return self._prepare_request(head, body, started_s)
         except Exception as error:
             self._records.internal_error(connection, None, "prepare", error)
             # Nothing has been sent to a server yet.
             return not_executed("internal error", INTERNAL_ERROR_RETRY_AFTER_S)
 
+    def _prepare_request(
+        self, head: RequestHead, body: RequestBody, started_s: float
+    ) -> ClientRequest | Refusal:
+        return self._forwarder.prepare(without_private_fields(head), body, started_s)
+
     async def _serve_request(
         self, connection: ServerConnection, request: ClientRequest | Refusal
     ) -> Response | Refusal:
@@ -267,12 +279,10 @@
         result: Response | Refusal,
         close_after: bool,
     ) -> None:
+        fields = self._response_fields(request, result)
         if isinstance(result, Refusal):
-            request_id = request.request_id if isinstance(request, ClientRequest) else None
-            fields = self._protocol.refusal_fields(request_id, result.retry_after)
             await connection.send_response(result.status, fields, b"", close_after)
             return
-        fields = end_to_end_fields(result.head.fields)
         if result.remainder is None:
             await connection.send_response(result.head.status, fields, result.body, close_after)
             return
@@ -299,6 +309,14 @@
             result.remainder.close()
         await connection.finish_response()
 
+    def _response_fields(
+        self, request: ClientRequest | Refusal, result: Response | Refusal
+    ) -> Fields:
+        if isinstance(result, Refusal):
+            request_id = request.request_id if isinstance(request, ClientRequest) else None
+            return self._protocol.refusal_fields(request_id, result.retry_after)
+        return end_to_end_fields(result.head.fields, PRIVATE_FIELDS)
+
     async def _refuse_malformed(self, connection: ServerConnection, error: BadRequestError) -> None:
         self._session.request_log.write(
             "request refused", why=str(error), status=error.status, step="head"
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.balance import AdmissionQueue, QueuedRequest
-    from fuchsiawell.gateway.execute.forwarder import ClientRequest
+    from fuchsiawell.gateway.execute.client_request import ClientRequest
     from fuchsiawell.gateway.execute.permit_client import PermitClient
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.routing import Backend
@@ -43,8 +43,11 @@
         self._session = session
         self._permits = permits
 
-    async def place(self, request: ClientRequest) -> Target | Refusal:
-        """Reserve a slot and return its server, or a refusal; the caller releases the slot."""
+    async def place(self, request: ClientRequest) -> Target | Refusal | None:
+        """Reserve a slot and return its server, or a refusal; the caller releases the slot.
+
+        None if the daemon reaches no server and the request may go through another daemon.
+        """
         session = self._session
         started_s = session.now_s
         queued: QueuedRequest | None = None
@@ -53,6 +56,11 @@
         permit_requests = 0
         try:
             while True:
+                if session.reachability.cut_off:
+                    if request.may_relay:
+                        return None
+                    if request.order is not None:
+                        return not_executed("reaches no server", self.retry_after_s())
                 result = self._find_target(request, queued is not None)
                 if isinstance(result, Target) and self._is_limited(result):
                     if permit_requests == MAX_PERMIT_REQUESTS:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/request_records.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/request_records.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.execute.forwarder import ClientRequest
+from fuchsiawell.gateway.execute.client_request import ClientRequest
 from fuchsiawell.gateway.execute.outcome import Response
 
 if TYPE_CHECKING:
@@ -84,7 +84,7 @@
             request=known.request_id if known else None,
             route=known.route.name if known else None,
             path=None if known or connection.head is None else _path(connection.head),
-            tries=len(known.attempted_backends) if known else 0,
+            tries=known.attempts if known else 0,
             took_ms=round((session.now_s - started_s) * 1000),
             left_ms=round((known.deadline_s - session.now_s) * 1000) if known else None,
             step=step,
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -203,6 +203,10 @@
     def forwarded_fields(self, fields: Fields, remaining: timedelta, backend_id: str) -> Fields:
         """Return the fields for the server `backend_id`; `remaining` is the time it has left."""
 
+    @abstractmethod
+    def relayed_fields(self, fields: Fields, remaining: timedelta) -> Fields:
+        """Return the fields for another daemon; `remaining` is the time that the request has."""
+
     @abstractmethod
     def parse_response(self, head: ResponseHead) -> ResponseMetadata:
         """Read the header fields of a server's response."""
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -37,6 +37,9 @@
     def forwarded_fields(self, fields, remaining, backend_id):
         raise NotImplementedError
 
+    def relayed_fields(self, fields, remaining):
+        raise NotImplementedError
+
     def parse_response(self, head):
         return ResponseMetadata(
             None, False, False, False, leaving=(b"leaving", b"1") in head.fields
--- a/libs/soak/src/fuchsiawell/soak/daemons.py
+++ b/libs/soak/src/fuchsiawell/soak/daemons.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from fuchsiawell.adapter.settings_file import SETTINGS_PATH_VARIABLE
-from fuchsiawell.standins import free_ports
+from fuchsiawell.standins import adjacent_free_ports, free_ports
 
 from standins.documents import DaemonPorts, settings_document
 
@@ -29,7 +29,10 @@
     ) -> None:
         self.name = name
         self._program = program
-        self.ports = DaemonPorts(*free_ports(4))
+        clients, readiness, metrics = free_ports(3)
+        # The port after that for other daemons' messages takes their requests.
+        peers, _ = adjacent_free_ports(2)
+        self.ports = DaemonPorts(clients, readiness, peers, metrics)
         self.log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.json"
         self._settings_path.write_bytes(settings_document(name, self.ports, store_port))
--- a/libs/standins/src/fuchsiawell/standins/__init__.py
+++ b/libs/standins/src/fuchsiawell/standins/__init__.py
@@ -6,7 +6,7 @@
 from fuchsiawell.standins.memory_network import CutMode, MemoryNetwork, host_pair
 from fuchsiawell.standins.memory_store import MemoryStore
 from fuchsiawell.standins.packet_loss import FilteredSocket, lose_packets
-from fuchsiawell.standins.ports import free_ports
+from fuchsiawell.standins.ports import adjacent_free_ports, free_ports
 from fuchsiawell.standins.virtual_hosts import VirtualHosts, run_on_virtual_hosts
 from fuchsiawell.standins.virtual_time import VirtualClock, run_in_virtual_time
 
@@ -18,6 +18,7 @@
     "MemoryStore",
     "VirtualClock",
     "VirtualHosts",
+    "adjacent_free_ports",
     "free_ports",
     "host_pair",
     "lose_packets",
--- a/libs/standins/src/fuchsiawell/standins/ports.py
+++ b/libs/standins/src/fuchsiawell/standins/ports.py
@@ -6,7 +6,7 @@
 import os
 import socket
 
-__all__ = ["free_ports"]
+__all__ = ["adjacent_free_ports", "free_ports"]
 
 # Port range. The first port tried depends on the process id, so that soaks on one
 # machine do not collide.
@@ -37,3 +37,11 @@
     raise RuntimeError(
         f"fewer than {count} unused ports left of {FIRST_PORT} to {FIRST_PORT + PORT_COUNT - 1}"
     )
+
+
+def adjacent_free_ports(count: int) -> list[int]:
+    """Return unused ports that follow each other, none of them returned before."""
+    ports = free_ports(count)
+    while ports[-1] - ports[0] != count - 1:
+        ports = [*ports[1:], *free_ports(1)]
+    return ports
