Notice within 2 s that no server is reached, and that one is again

A daemon cut from all servers had no way to know it: each failure counted against one server. Connections, responses and failures of requests and grants are now recorded in `session.reachability`; requests and grants without a response count as failures while no server responds at all (a grant after 0.25 s, a request after 0.4 s and 2.5 times the usual time), each once. The control loop `ServerReach` probes up to six servers, one 40 ms after the other, only while there is a suspicion; one that accepts a connection and keeps it for 30 ms disproves it, and none is sent for 1 s after. If all fail, the daemon is cut off until two probes in a row succeed. A round that took over 1.5 s says that the process stood still and counts for nothing. At the beginning of a cut idle connections are aborted; at its end ejections and overdue factors of the time of the cut are dropped. While cut off and without any response, a daemon reports no load of its own: servers don't have it.

The granter takes the loop, but doesn't use it yet.

--- a/libs/balance/src/fuchsiawell/balance/in_flight.py
+++ b/libs/balance/src/fuchsiawell/balance/in_flight.py
@@ -24,6 +24,8 @@
 
     def __init__(self) -> None:
         self._own_by_id: dict[str, int] = {}
+        # Whether reports to other daemons include this daemon's own requests.
+        self.reports_own = True
         self._report_by_source: dict[str, tuple[float, Mapping[int, int]]] = {}
         self._others_by_short_id: dict[int, int] = {}
 
@@ -49,6 +51,8 @@
 
     def own_report(self) -> dict[int, int]:
         """Return this daemon's counts by short id, to send to other daemons."""
+        if not self.reports_own:
+            return {}
         return {short_id(backend_id): count for backend_id, count in self._own_by_id.items()}
 
     def combined_report(self, sources: Collection[str]) -> dict[int, int]:
--- a/libs/balance/src/fuchsiawell/balance/outlier_detection.py
+++ b/libs/balance/src/fuchsiawell/balance/outlier_detection.py
@@ -20,6 +20,7 @@
     consecutive_failures: int = 0
     failure_rate: float = 0.0
     ejected_until_s: float = 0.0
+    last_failure_s: float = 0.0
     ejection_s: float = 0.0
     unreachable: bool = False
 
@@ -71,6 +72,7 @@
         """
         results = self._results_by_id.setdefault(backend_id, _ServerResults())
         results.consecutive_failures += 1
+        results.last_failure_s = now_s
         results.unreachable = unreachable
         results.failure_rate += SAMPLE_WEIGHT * (1.0 - results.failure_rate)
         if (
@@ -85,6 +87,12 @@
         results.ejected_until_s = now_s + results.ejection_s
         return True
 
+    def discard_failures_since(self, since_s: float) -> None:
+        """Discard the results of servers that failed since a time at which none was reached."""
+        for backend_id, results in list(self._results_by_id.items()):
+            if results.last_failure_s >= since_s:
+                del self._results_by_id[backend_id]
+
     def forget(self, backend_id: str) -> None:
         """Discard the results of a server that was removed."""
         self._results_by_id.pop(backend_id, None)
--- a/libs/balance/tests/test_reachability.py
+++ b/libs/balance/tests/test_reachability.py
@@ -20,8 +20,8 @@
     reachability = Reachability()
     reachability.record_response("i-1", 10.0)
     reachability.record_failure("i-2", 10.1)
-    assert not reachability.suspected(10.4, SERVERS)
-    assert reachability.suspected(10.6, SERVERS)
+    assert not reachability.suspected(10.3, SERVERS)
+    assert reachability.suspected(10.5, SERVERS)
 
 
 @pytest.mark.parametrize(("servers", "failures"), [(20, 3), (2, 2), (1, 1)])
@@ -92,6 +92,55 @@
     reachability.record_connected("i-1", 10.0)
     reachability.record_failure("i-1", 10.1)
     reachability.forget("i-1")
-    assert reachability.failed_ids == set()
+    assert not reachability.failed_ids
     assert reachability.contact_s("i-1") == float("-inf")
-    assert reachability.reached_within(0.3, 10.2)
+    assert reachability.reached_since(9.9)
+
+
+# Guards against a daemon without a request that fails: connections that hang bring no failure
+# before the deadline.
+def test_overdue_calls_count_as_failures_when_no_server_was_reached_lately() -> None:
+    reachability = Reachability()
+    reachability.record_response("i-9", 10.0)
+    calls = [reachability.start_call(f"i-{number}", 10.25) for number in range(3)]
+    reachability.record_overdue(10.3)
+    assert not reachability.suspected(10.3, SERVERS)
+    reachability.end_call(calls[0])
+    reachability.record_overdue(10.5)
+    assert reachability.failed_ids == {"i-1", "i-2"}
+    assert reachability.suspected(10.5, SERVERS)
+
+
+# Guards against probes without end because of one slow response.
+def test_an_overdue_call_counts_once() -> None:
+    reachability = Reachability()
+    reachability.start_call("i-1", 10.0)
+    reachability.record_overdue(11.0)
+    reachability.record_connected("i-2", 11.1)
+    reachability.record_overdue(12.0)
+    assert not reachability.suspected(12.0, SERVERS)
+
+
+def test_a_new_connection_is_told_from_a_response() -> None:
+    reachability = Reachability()
+    reachability.record_response("i-1", 10.0)
+    assert reachability.reached_since(9.9)
+    assert not reachability.connected_since(9.9)
+    reachability.record_connected("i-1", 10.1)
+    assert reachability.connected_since(10.0)
+
+
+@pytest.mark.parametrize(
+    ("contact_s", "failures_s", "since_s"),
+    [(10.0, [10.2, 10.3], 10.0), (10.25, [10.2, 10.3], 10.2), (None, [10.2], 0.0)],
+)
+def test_failures_are_dated_back_to_the_last_contact(
+    contact_s: float | None, failures_s: list[float], since_s: float
+) -> None:
+    reachability = Reachability()
+    for number, failed_s in enumerate(failures_s):
+        reachability.record_failure(f"i-{number}", failed_s)
+    if contact_s is not None:
+        reachability.record_response("i-9", contact_s)
+    reachability.record_probes(reached=False, now_s=11.0)
+    assert reachability.impaired_since_s == since_s
--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -18,6 +18,7 @@
 from fuchsiawell.gateway.control.membership import Membership
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.control.rest_tracker import RestTracker
+from fuchsiawell.gateway.control.server_reach import ServerReach
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.execute.backend_client import BackendClient
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
@@ -69,6 +70,7 @@
         self._session = session
         self._settings_source = settings_source
         self._pool = ConnectionPool(session.clock, lambda: session.daemon_count)
+        self._server_reach = ServerReach(session, self._pool)
         self._peers = PeerMessenger(session)
         self._store_watcher = StoreWatcher(session, store, records)
         self._hubs = HubSelector(session)
@@ -78,7 +80,10 @@
         self._store_watcher.use_hubs(self._hubs, self._change_relay)
         self._membership = Membership(session, store)
         leaving_tracker = LeavingTracker(session, self._peers)
-        self._granter = Granter(session, store, protocol, self._peers, leaving_tracker)
+        self._granter = Granter(
+            session, store, protocol, self._peers, leaving_tracker, self._server_reach
+        )
+        self._server_reach.on_change = self._granter.on_reach_change
         self._store_watcher.on_granter_update = self._granter.wake_election
         session.backend_selector.has_idle_connection = lambda b: self._pool.has_idle(
             f"{b.id}/{b.incarnation}"
@@ -98,6 +103,7 @@
                 self._rate_limiting.tracker,
                 RestTracker(session),
                 leaving_tracker,
+                session.reachability,
             ),
             Placement(session, self._rate_limiting.permits),
             self._peers,
@@ -172,6 +178,7 @@
             ("load reports", self._load_reporter.run),
             ("key reports", self._peers.report_key_counts),
             ("maintenance", self._maintenance.run),
+            ("server reach", self._server_reach.run),
             ("settings watch", self._watch_settings),
         ):
             loop_coroutine = run_control_loop(name, run, self._session, self._on_broken_loop)
@@ -261,6 +268,7 @@
             "configuration_version": session.configuration.version if session.configuration else 0,
             "connections_opened": self._pool.opened,
             "store_age_ms": round(session.store_age_s * 1000),
+            "servers_unreachable": 1 if session.reachability.cut_off else 0,
             "granting": 1 if session.granter == session.settings.daemon else 0,
         }
         return 200, session.metrics.render(gauges)
--- a/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,10 +11,14 @@
 from fuchsiawell.httpio import ClientConnection, InvalidResponseError, ResponseHead, connect
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from datetime import timedelta
 
+    from fuchsiawell.balance import Reachability
+    from fuchsiawell.core import Clock
     from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.ports import BackendProtocol
+    from fuchsiawell.httpio import RequestHead
     from fuchsiawell.shards import Assignment, Owner
 
 __all__ = ["GrantCallError", "GrantClient", "Released"]
@@ -23,6 +28,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # A server responds to a release only when the running requests for the range have ended.
 RELEASE_TIMEOUT_S = 3.0
+# A server responds to a grant within milliseconds; later, it may be unreachable.
+GRANT_OVERDUE_S = 0.25
 
 
 class GrantCallError(Exception):
@@ -47,11 +54,18 @@
     """Calls to one incarnation of a server. Grants share a connection, releases use others."""
 
     def __init__(
-        self, owner: Owner, protocol: BackendProtocol, leaving_tracker: LeavingTracker
+        self,
+        owner: Owner,
+        protocol: BackendProtocol,
+        leaving_tracker: LeavingTracker,
+        reachability: Reachability,
+        clock: Clock,
     ) -> None:
         self.owner = owner
         self._protocol = protocol
         self._leaving_tracker = leaving_tracker
+        self._reachability = reachability
+        self._clock = clock
         self._connection: ClientConnection | None = None
         # Idle connection of an earlier release.
         self._release_connection: ClientConnection | None = None
@@ -66,34 +80,39 @@
         grant = KeyGrant(assignment.first, assignment.last, assignment.fence, ttl, handover)
         head, body = self._protocol.grant(grant, self.owner.backend_id, self.owner.peer)
         async with self._lock:
-            await self._ensure_connection("grant")
-            if assignment.fence <= self._highest_stale_fence:
-                raise GrantCallError(
-                    "grant",
-                    self.owner.peer,
-                    "connection was lost, a new fence is needed",
-                    sent=False,
-                )
-            connection = self._connection
-            assert connection is not None
-            self._highest_fence = max(self._highest_fence, assignment.fence)
-            try:
-                async with asyncio.timeout(GRANT_TIMEOUT_S):
-                    exchange = connection.start(head, len(body))
-                    await exchange.send_body_chunk(body)
-                    await exchange.finish_body()
-                    response = await exchange.read_response_head(lambda _: True)
-                    self._record_response(response)
-                    while await exchange.read_body_chunk() is not None:
-                        pass
-                if not exchange.reusable:
-                    connection.close()
-                    self._connection = None
-                return response.status
-            except (OSError, InvalidResponseError) as error:
-                self.abort()
-                reason = str(error) or "no answer in time"
-                raise GrantCallError("grant", self.owner.peer, reason, sent=True) from error
+            with self._expected_response():
+                return await self._grant(assignment, head, body)
+
+    async def _grant(self, assignment: Assignment, head: RequestHead, body: bytes) -> int:
+        await self._ensure_connection("grant")
+        if assignment.fence <= self._highest_stale_fence:
+            raise GrantCallError(
+                "grant",
+                self.owner.peer,
+                "connection was lost, a new fence is needed",
+                sent=False,
+            )
+        connection = self._connection
+        assert connection is not None
+        self._highest_fence = max(self._highest_fence, assignment.fence)
+        try:
+            async with asyncio.timeout(GRANT_TIMEOUT_S):
+                exchange = connection.start(head, len(body))
+                await exchange.send_body_chunk(body)
+                await exchange.finish_body()
+                response = await exchange.read_response_head(lambda _: True)
+                self._record_response(connection, response)
+                while await exchange.read_body_chunk() is not None:
+                    pass
+            if not exchange.reusable:
+                connection.close()
+                self._connection = None
+            return response.status
+        except (OSError, InvalidResponseError) as error:
+            self._abort_grants()
+            self._record_failure()
+            reason = str(error) or "no answer in time"
+            raise GrantCallError("grant", self.owner.peer, reason, sent=True) from error
 
     async def release(self, first: int, last: int, fence: int) -> Released:
         """Release a range; return when its requests have ended. Raises GrantCallError."""
@@ -109,13 +128,19 @@
                 await exchange.send_body_chunk(body)
                 await exchange.finish_body()
                 response: ResponseHead = await exchange.read_response_head(lambda _: True)
-                self._record_response(response)
+                self._record_response(connection, response)
                 while await exchange.read_body_chunk() is not None:
                     pass
         except (OSError, InvalidResponseError) as error:
             connection.abort()
+            if not isinstance(error, TimeoutError):
+                # A release may wait for long requests.
+                self._record_failure()
             reason = str(error) or "no answer in time"
             raise GrantCallError("release", self.owner.peer, reason, sent=True) from error
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
         if exchange.reusable and self._release_connection is None:
             self._release_connection = connection
         else:
@@ -134,12 +159,36 @@
             return True
 
     def abort(self) -> None:
-        """Abort the connection, so that a grant in transit is lost."""
+        """Abort the connections, so that a grant in transit is lost."""
+        self._abort_grants()
+        if self._release_connection is not None:
+            self._release_connection.abort()
+            self._release_connection = None
+
+    def _abort_grants(self) -> None:
         if self._connection is not None:
             self._connection.abort()
             self._connection = None
 
-    def _record_response(self, head: ResponseHead) -> None:
+    @contextmanager
+    def _expected_response(self) -> Iterator[None]:
+        call_id = self._reachability.start_call(
+            self.owner.backend_id, self._clock.monotonic() + GRANT_OVERDUE_S
+        )
+        try:
+            yield
+        finally:
+            self._reachability.end_call(call_id)
+
+    def _record_failure(self) -> None:
+        self._reachability.record_failure(self.owner.backend_id, self._clock.monotonic())
+
+    def _record_response(self, connection: ClientConnection, head: ResponseHead) -> None:
+        now_s = self._clock.monotonic()
+        if connection.exchange_count == 1:
+            self._reachability.record_connected(self.owner.backend_id, now_s)
+        else:
+            self._reachability.record_response(self.owner.backend_id, now_s)
         self._leaving_tracker.record_response(
             self.owner.backend_id, self.owner.incarnation_id, self._protocol.parse_response(head)
         )
@@ -148,7 +197,7 @@
         """Connect if needed; another incarnation may accept the new connection."""
         if self._connection is not None and self._connection.usable:
             return
-        self.abort()
+        self._abort_grants()
         self._connection = await self._connect(step)
         self._highest_stale_fence = self._highest_fence
 
@@ -156,5 +205,6 @@
         try:
             return await connect(self.owner.host, self.owner.port, CONNECT_TIMEOUT_S)
         except OSError as error:
+            self._record_failure()
             reason = f"connect: {error or 'timed out'}"
             raise GrantCallError(step, self.owner.peer, reason, sent=False) from error
--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -17,6 +17,7 @@
     from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.control.peer_messages import KeyCountReport
     from fuchsiawell.gateway.control.peers import PeerMessenger
+    from fuchsiawell.gateway.control.server_reach import ServerReach
     from fuchsiawell.gateway.ports import BackendProtocol, Store
     from fuchsiawell.gateway.session.state import Session
 
@@ -45,14 +46,17 @@
         protocol: BackendProtocol,
         peers: PeerMessenger,
         leaving_tracker: LeavingTracker,
+        server_reach: ServerReach,
     ) -> None:
         self._session = session
         self._store = store
         self._protocol = protocol
         self._peers = peers
         self._leaving_tracker = leaving_tracker
+        self._server_reach = server_reach
         self._timing = GrantTiming()
         self._granter_updated = asyncio.Event()
+        self._reach_changed = asyncio.Event()
         self._granter_by_service: dict[str, ServiceGranter] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lease_id: int | None = None
@@ -64,6 +68,11 @@
         """Check now whether a granter is needed, instead of at the next poll."""
         self._granter_updated.set()
 
+    def on_reach_change(self) -> None:
+        """Check now what a cut that has begun or ended changes."""
+        self._reach_changed.set()
+        self._granter_updated.set()
+
     async def run(self) -> None:
         """Stand for election while there is no granter, grant while elected; until cancelled."""
         while True:
@@ -176,7 +185,13 @@
                 self._store,
                 self._peers,
                 self._timing,
-                lambda owner: GrantClient(owner, self._protocol, self._leaving_tracker),
+                lambda owner: GrantClient(
+                    owner,
+                    self._protocol,
+                    self._leaving_tracker,
+                    self._session.reachability,
+                    self._session.clock,
+                ),
             )
             self._granter_by_service[service] = service_granter
             task = asyncio.get_running_loop().create_task(service_granter.run())
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -24,6 +24,7 @@
 )
 
 if TYPE_CHECKING:
+    from fuchsiawell.balance import Reachability
     from fuchsiawell.core import Clock
     from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.control.limit_tracker import LimitTracker
@@ -65,6 +66,7 @@
         limit_tracker: LimitTracker,
         rest_tracker: RestTracker,
         leaving_tracker: LeavingTracker,
+        reachability: Reachability,
     ) -> None:
         self._pool = pool
         self._protocol = protocol
@@ -72,6 +74,7 @@
         self._limit_tracker = limit_tracker
         self._rest_tracker = rest_tracker
         self._leaving_tracker = leaving_tracker
+        self._reachability = reachability
 
     async def send(
         self,
@@ -93,6 +96,7 @@
                     target.incarnation_id, target.host, target.port, require_fresh=not idempotent
                 )
         except OSError as error:
+            self._record_failure(target)
             overloaded = isinstance(error, ConnectionResetError)
             return NotExecuted(
                 "connect", target.peer, str(error) or "timed out", overloaded=overloaded
@@ -106,6 +110,7 @@
         length_bytes = len(body.buffered) if body.fully_buffered else body.length_bytes
         send_task: asyncio.Task[None] | None = None
         completed = False
+        sent_s = self._clock.monotonic()
         try:
             async with asyncio.timeout(remaining.total_seconds()):
                 outgoing = RequestHead(head.method, head.target, fields)
@@ -115,10 +120,13 @@
             completed = True
             return outcome
         except TimeoutError:
+            if not self._reachability.reached_since(sent_s):
+                self._record_failure(target)
             return OutcomeUnknown("answer", target.peer, "no answer in time", timed_out=True)
         except (OSError, InvalidResponseError) as error:
             if (error_of_body := body_error(send_task)) is not None:
                 raise error_of_body from error
+            self._record_failure(target)
             if connection.exchange_count > 1:
                 self._pool.discard(target.incarnation_id)
             return OutcomeUnknown("answer", target.peer, str(error) or type(error).__name__)
@@ -127,6 +135,9 @@
             if not completed:
                 connection.abort()
 
+    def _record_failure(self, target: Target) -> None:
+        self._reachability.record_failure(target.backend_id, self._clock.monotonic())
+
     def _return_connection(
         self, target: Target, connection: ClientConnection, exchange: Exchange
     ) -> None:
@@ -147,6 +158,10 @@
             return received[0].request_id in (request_id, None)
 
         head = await exchange.read_response_head(matches_request)
+        if connection.exchange_count == 1:
+            self._reachability.record_connected(target.backend_id, self._clock.monotonic())
+        else:
+            self._reachability.record_response(target.backend_id, self._clock.monotonic())
         metadata = received[0]
         if metadata.request_id is None and connection.exchange_count > 1:
             raise InvalidResponseError("response without a request id on a reused connection")
--- a/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
@@ -102,6 +102,11 @@
         for connection in self._idle.pop(incarnation_id, []):
             connection.abort()
 
+    def discard_all(self) -> None:
+        """Abort all idle connections, as no server can be reached any more."""
+        for incarnation_id in list(self._idle):
+            self.discard(incarnation_id)
+
     def evict_stale(self, incarnation_ids: set[str] | None = None) -> None:
         """Close connections to incarnations not listed, if given, and those idle for too long."""
         now_s = self._clock.monotonic()
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -71,7 +71,8 @@
     fingerprint: int
     started_s: float
     expected_duration_s: float
-    settled: bool = False
+    # Whether its missing response has been counted as a failure to reach the server.
+    overdue_counted: bool = False
 
 
 class Session:
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -52,8 +52,11 @@
         return None
 
 
-def leaving_tracker(local_session: Any) -> LeavingTracker:
-    return LeavingTracker(local_session, PeerMessenger(local_session))
+def grant_client(owner: Owner, local_session: Any) -> GrantClient:
+    leaving_tracker = LeavingTracker(local_session, PeerMessenger(local_session))
+    return GrantClient(
+        owner, FakeProtocol(), leaving_tracker, local_session.reachability, local_session.clock
+    )
 
 
 async def test_after_a_lost_connection_only_higher_fences_are_sent() -> None:
@@ -70,7 +73,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     owner = Owner("i-1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
-    client = GrantClient(owner, FakeProtocol(), leaving_tracker(session()))
+    client = grant_client(owner, session())
     assert await client.grant(Assignment(0, 9, 5, owner), TTL, None) == 200
     assert await client.grant(Assignment(10, 19, 6, owner), TTL, None) == 200
     writers[0].close()
@@ -100,7 +103,7 @@
     owner = Owner("i-1", 1, "127.0.0.1", port)
     granting_session = session()
     granting_session.update_backend(backend("i-1", port))
-    client = GrantClient(owner, FakeProtocol(), leaving_tracker(granting_session))
+    client = grant_client(owner, granting_session)
     if call == "grant":
         await client.grant(Assignment(0, 9, 5, owner), TTL, None)
     else:
--- a/libs/gateway/tests/test_granter.py
+++ b/libs/gateway/tests/test_granter.py
@@ -8,6 +8,8 @@
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.peers import PeerMessenger
+from fuchsiawell.gateway.control.server_reach import ServerReach
+from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
 from fuchsiawell.standins import MemoryStore, VirtualClock, run_in_virtual_time
 
 from builders import configuration, session
@@ -28,6 +30,7 @@
             cast("Any", None),
             peers,
             LeavingTracker(local_session, peers),
+            ServerReach(local_session, ConnectionPool(local_session.clock)),
         )
         task = asyncio.create_task(granter.run())
         await asyncio.sleep(5.0)
--- a/libs/standins/src/fuchsiawell/standins/memory_network.py
+++ b/libs/standins/src/fuchsiawell/standins/memory_network.py
@@ -7,6 +7,7 @@
 from contextvars import copy_context
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from fuchsiawell.httpio import Channel
@@ -65,6 +66,8 @@
     def __init__(self, default_delay_s: float = 0.0) -> None:
         self.default_delay_s = default_delay_s
         self.silent: set[frozenset[str]] = set()
+        # Gets what would have delivered the data of a silent pair, for a test to call it late.
+        self.on_dropped: Callable[[Callable[[], object]], None] | None = None
         self.delay_s: dict[frozenset[str], float] = {}
         # Connects by client and host, those that failed too.
         self.connects: dict[tuple[str, str], int] = {}
@@ -274,6 +277,8 @@
 
     def _deliver(self, callback: Callable[..., object], *arguments: object) -> None:
         if self._hosts in self._network.silent:
+            if self._network.on_dropped is not None:
+                self._network.on_dropped(partial(callback, *arguments))
             return
         if self._network.holds_data(self._hosts):
             if not self._held and self._network.cut_mode(self._hosts) is CutMode.HANG:
