Keep requests at servers that work in silence or read late

Connections to servers had TCP_USER_TIMEOUT 1.5 s and a keep-alive of 2 s idle, 1 s interval, 2 probes. The user timeout decides when keep-alive gives up, whatever the count: one probe whose reply was lost or late reset the connection 3.0 s after the last data. It also counts a full receive window, though the peer's kernel acknowledges each probe.

While no response is due, and for the first 1.6 s of a request, the limits stay, so that a dead kept connection is noticed in 1.5 s. Bodies over 16 KiB, which a server may read late, start without the user timeout where the kernel tells by TCP_INFO whether the peer acknowledges; on one that does not tell, nothing changes for them. Each 1.6 s of an exchange, a connection with two retransmissions and no acknowledgement for 1.5 s is reset here.

Weighed: no user timeout and a check of our own only (depends on TCP_INFO for each request); longer limits for all (each dead kept connection would hold a request with a deadline of 1 to 4 s for too long). Packets that wait over 1.5 s at a link in a request's first 1.6 s still end the attempt, as before.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -23,8 +24,9 @@
     """Times after which the kernel resets a connection whose peer does not respond.
 
     `user_timeout_ms` (TCP_USER_TIMEOUT) limits the time with unacknowledged data, with a full
-    receive window of the peer, or with unanswered keep-alive probes. The first probe is sent
-    `keep_alive_idle_s` after the last data, the others `keep_alive_interval_s` apart.
+    receive window of the peer, or with unanswered keep-alive probes, whatever their number; 0 sets
+    no limit. The first probe is sent `keep_alive_idle_s` after the last data, the others
+    `keep_alive_interval_s` apart.
     """
 
     user_timeout_ms: int
@@ -38,6 +40,12 @@
 HOST_TIMEOUTS = DeadPeerTimeouts(
     user_timeout_ms=1500, keep_alive_idle_s=2, keep_alive_interval_s=1, keep_alive_probes=2
 )
+# While a peer that has acknowledged a request works on it: silent by right, so that the loss or
+# delay of a few probes must not end the request. Data without acknowledgement has no limit here;
+# see `Channel.peer_unresponsive`.
+WORKING_HOST_TIMEOUTS = DeadPeerTimeouts(
+    user_timeout_ms=0, keep_alive_idle_s=2, keep_alive_interval_s=1, keep_alive_probes=4
+)
 # A client that leaves closes its connection. Silence may come from a slow reader or from a queue at
 # a slow link, and a response is due all the same; the limit bounds the memory for dead clients.
 CLIENT_TIMEOUTS = DeadPeerTimeouts(
@@ -45,6 +53,14 @@
 )
 
 
+# The start of struct tcp_info: retransmission timeouts in a row, segments without acknowledgement,
+# and milliseconds since the last acknowledgement.
+TCP_INFO_FORMAT = struct.Struct("=2xB21xI28xI")
+# A peer that has acknowledged nothing for so long, while data was sent to it again, has gone.
+UNRESPONSIVE_MS = 1500
+MIN_RETRANSMISSIONS = 2
+
+
 @dataclass(frozen=True)
 class LingerLimits:
     """Limits on discarding what a peer sends after the last response.
@@ -118,7 +134,7 @@
         self.lost = True
         self._closed_by_peer = self._ended
         self._ended = True
-        self._error = exc
+        self._error = exc or self._error
         self._readable.set()
         self._writable.set()
         self._closed.set()
@@ -168,6 +184,35 @@
         """Number of bytes received and not read yet."""
         return len(self._buffer)
 
+    def set_timeouts(self, timeouts: DeadPeerTimeouts) -> None:
+        """Change the times after which the kernel resets the connection."""
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if timeouts == self._timeouts or sock is None or self.lost:
+            return
+        self._timeouts = timeouts
+        _set_dead_peer_timeouts(sock, timeouts)
+
+    @property
+    def peer_unresponsive(self) -> bool | None:
+        """Whether the peer acknowledges nothing of what is sent again and again to it.
+
+        A peer that does not read is not unresponsive: its kernel acknowledges. None where the
+        kernel does not tell.
+        """
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is None or self.lost:
+            return None
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FORMAT.size)
+            retransmissions, unacknowledged, silent_ms = TCP_INFO_FORMAT.unpack(info)
+        except (OSError, struct.error):
+            return None
+        return bool(
+            unacknowledged > 0
+            and retransmissions >= MIN_RETRANSMISSIONS
+            and silent_ms >= UNRESPONSIVE_MS
+        )
+
     async def receive(self) -> bytes:
         """Return the next bytes, empty at end of file; raises ConnectionError on loss."""
         while not self._buffer:
@@ -228,10 +273,14 @@
         """Wait until the connection has ended: after `close`, until all queued bytes are sent."""
         await self._closed.wait()
 
-    def abort(self) -> None:
-        """Reset the connection at once; bytes not yet delivered are dropped."""
+    def abort(self, error: Exception | None = None) -> None:
+        """Reset the connection at once; bytes not yet delivered are dropped.
+
+        Pending and later calls raise ConnectionError with the text of `error`.
+        """
         if self._transport is None or self.lost:
             return
+        self._error = error or self._error
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
             with contextlib.suppress(OSError):
--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -7,7 +7,12 @@
 
 import h11
 
-from fuchsiawell.httpio.channel import Channel, open_channel
+from fuchsiawell.httpio.channel import (
+    HOST_TIMEOUTS,
+    WORKING_HOST_TIMEOUTS,
+    Channel,
+    open_channel,
+)
 from fuchsiawell.httpio.messages import Fields, RequestHead, ResponseHead, first_value
 
 if TYPE_CHECKING:
@@ -21,6 +26,12 @@
 # the stray ones. A server that sends more does not respond.
 MAX_SKIPPED_RESPONSES = 32
 MAX_SKIPPED_BYTES = 1024 * 1024
+# Time after which a server that has not reset the connection has acknowledged a request: above the
+# limit for unacknowledged data. Most responses are there before.
+ACKNOWLEDGED_AFTER_S = 1.6
+# A server may take its time to read bodies longer than this, and its receive window may be full
+# meanwhile, which the limit for unacknowledged data does not tell from a server that has gone.
+LONG_BODY_BYTES = 16 * 1024
 # Parts of a response that are read from received bytes before other tasks get a turn.
 EVENTS_PER_TURN = 64
 
@@ -42,6 +53,7 @@
         self.exchange_count = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
+        self._peer_check: asyncio.TimerHandle | None = None
 
     @property
     def usable(self) -> bool:
@@ -52,15 +64,47 @@
     def start(self, head: RequestHead, body_length: int | None) -> Exchange:
         """Send a request head; `body_length` None sends the body chunked."""
         self.exchange_count += 1
+        if (body_length is None or body_length > LONG_BODY_BYTES) and (
+            self.channel.peer_unresponsive is not None
+        ):
+            self.channel.set_timeouts(WORKING_HOST_TIMEOUTS)
+        self._schedule_peer_check()
         return Exchange(self, head, body_length)
 
+    def end_exchange(self) -> None:
+        """Notice soon again when the connection is dead: no response is due any more."""
+        if self._peer_check is not None:
+            self._peer_check.cancel()
+            self._peer_check = None
+        self.channel.set_timeouts(HOST_TIMEOUTS)
+
     def close(self) -> None:
+        self.end_exchange()
         self.channel.close()
 
     def abort(self) -> None:
         """Reset the connection, so that the server cancels its work for it."""
+        self.end_exchange()
         self.channel.abort()
 
+    def _schedule_peer_check(self) -> None:
+        self._peer_check = asyncio.get_running_loop().call_later(
+            ACKNOWLEDGED_AFTER_S, self._check_peer
+        )
+
+    def _check_peer(self) -> None:
+        """Wait longer for a server that works in silence, end the wait for one that has gone."""
+        self._peer_check = None
+        if self.channel.at_eof or self.channel.closing:
+            return
+        unresponsive = self.channel.peer_unresponsive
+        if unresponsive:
+            self.channel.abort(TimeoutError("server acknowledges nothing"))
+            return
+        self.channel.set_timeouts(WORKING_HOST_TIMEOUTS)
+        if unresponsive is not None:
+            self._schedule_peer_check()
+
 
 class Exchange:
     """One request and its response."""
@@ -139,6 +183,8 @@
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._response_complete = True
+                if self._request_sent and not self._stray_response_skipped:
+                    self._connection.end_exchange()
                 return None
             raise InvalidResponseError("connection closed inside the response body")
 
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,12 @@
     end_to_end_fields,
     first_value,
 )
+from fuchsiawell.httpio import client as client_module
+from fuchsiawell.httpio.channel import (
+    HOST_TIMEOUTS,
+    WORKING_HOST_TIMEOUTS,
+    DeadPeerTimeouts,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -255,3 +262,56 @@
 async def test_unusable_address_raises_os_error(host: str, port: int) -> None:
     with pytest.raises(OSError, match="address"):
         await connect(host, port, 2.0)
+
+
+def _user_timeout_ms(connection: ClientConnection) -> int:
+    assert connection.channel._transport is not None
+    sock = connection.channel._transport.get_extra_info("socket")
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
+# Guards against a kept connection on which a dead server is noticed late, because it kept the
+# timeouts of a request that took long, and against a reset while a server works in silence.
+async def test_user_timeout_is_lifted_only_while_a_server_works_on_a_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client_module, "ACKNOWLEDGED_AFTER_S", 0.02)
+    answer = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await answer.wait()
+        writer.write(response(b"mine", b"a"))
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    connection = await connect("127.0.0.1", server.sockets[0].getsockname()[1], 5.0)
+    async with asyncio.timeout(5):
+        exchange = connection.start(REQUEST_HEAD, 0)
+        await exchange.finish_body()
+        assert _user_timeout_ms(connection) == HOST_TIMEOUTS.user_timeout_ms
+        while _user_timeout_ms(connection) != WORKING_HOST_TIMEOUTS.user_timeout_ms:
+            await asyncio.sleep(0.005)
+        answer.set()
+        await exchange.read_response_head(is_expected)
+        while await exchange.read_body_chunk() is not None:
+            pass
+        await asyncio.sleep(0.1)
+    assert _user_timeout_ms(connection) == HOST_TIMEOUTS.user_timeout_ms
+    connection.abort()
+    server.close()
+
+
+# Guards against resets of a server that has not read a long body yet, on a kernel that tells
+# whether it acknowledges; on any other the limit for unacknowledged data has to stay.
+@pytest.mark.parametrize(
+    ("told", "timeouts"), [(True, WORKING_HOST_TIMEOUTS), (False, HOST_TIMEOUTS)]
+)
+async def test_user_timeout_is_lifted_from_the_start_of_a_long_body(
+    told: bool, timeouts: DeadPeerTimeouts, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not told:
+        monkeypatch.setattr(Channel, "peer_unresponsive", None)
+    async with server_sending() as connection:
+        post = RequestHead(b"POST", b"/x", REQUEST_HEAD.fields)
+        connection.start(post, 17 * 1024)
+        assert _user_timeout_ms(connection) == timeouts.user_timeout_ms
