Notice a reset while reading from a connection is paused

With over 256 KiB unread, reading is paused and the event loop does not watch the socket: a client that reset its connection was noticed only when its body was read on. While paused, the socket is asked for its error (SO_ERROR) five times a second.

A client that ends its side without a reset behind unread bytes is still noticed when they are read.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 from dataclasses import dataclass
@@ -17,6 +18,8 @@
 # Reading from the socket pauses when this much received data is unread; a body of the usual size
 # fits.
 RECEIVE_BUFFER_LIMIT_BYTES = 256 * 1024
+# While reading is paused, the event loop does not report a reset: the socket is asked this often.
+PAUSED_CHECK_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -89,6 +92,7 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._reading_paused = False
+        self._paused_check: asyncio.TimerHandle | None = None
         self._ended = False
         # Whether the peer ended its side before the connection was lost.
         self._closed_by_peer = False
@@ -120,6 +124,7 @@
         ):
             self._reading_paused = True
             self._transport.pause_reading()
+            self._schedule_paused_check()
         self._readable.set()
 
     def eof_received(self) -> bool:
@@ -135,6 +140,7 @@
         self._closed_by_peer = self._ended
         self._ended = True
         self._error = exc or self._error
+        self._cancel_paused_check()
         self._readable.set()
         self._writable.set()
         self._closed.set()
@@ -226,6 +232,7 @@
         self._buffer.clear()
         if self._reading_paused and self._transport is not None and not self.lost:
             self._reading_paused = False
+            self._cancel_paused_check()
             self._transport.resume_reading()
         return data
 
@@ -289,6 +296,29 @@
                 )
         self._transport.abort()
 
+    def _schedule_paused_check(self) -> None:
+        if self._transport is not None and self._transport.get_extra_info("socket") is not None:
+            self._paused_check = asyncio.get_running_loop().call_later(
+                PAUSED_CHECK_S, self._check_paused
+            )
+
+    def _cancel_paused_check(self) -> None:
+        if self._paused_check is not None:
+            self._paused_check.cancel()
+            self._paused_check = None
+
+    def _check_paused(self) -> None:
+        """End the connection if the peer has reset it while reading is paused."""
+        self._paused_check = None
+        if self._transport is None or self.closing:
+            return
+        sock = self._transport.get_extra_info("socket")
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.abort(OSError(code, os.strerror(code)))
+        else:
+            self._schedule_paused_check()
+
     def _notify_disconnect(self) -> None:
         if self.on_disconnect is not None:
             self.on_disconnect()
