Send the rest of an upload while a long response is passed on

When a server began a response over 256 KiB before it had read a long upload, the sending of the upload was cancelled as soon as the response began to go to the client: a server that reads on before it ends its response waited for ever, and the client's connection was reset at the deadline, inside its response. The rest of the response now owns the task that sends, and cancels it at its end.

platform/tests/test_early_long_responses.py: 1 of 2 cases failed before (3 MB; 300 KB were in the kernel's buffers), 2 of 2 pass now.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -13,7 +13,7 @@
     cancel_sending,
     start_sending,
 )
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown
+from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.response_reading import drain, read_response
 from fuchsiawell.httpio import (
     ClientConnection,
@@ -118,6 +118,9 @@
                 send_task = await start_sending(exchange, body, connection)
                 outcome = await self._receive(target, connection, exchange, request_id)
             completed = True
+            if isinstance(outcome, Response) and outcome.remainder is not None:
+                # The server may need the rest of the request to end its response.
+                outcome.remainder.sending, send_task = send_task, None
             return outcome
         except TimeoutError:
             if not self._reachability.reached_since(sent_s):
--- a/libs/gateway/src/fuchsiawell/gateway/execute/remainder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/remainder.py
@@ -30,6 +30,7 @@
     `on_end` is called with the response when it is complete, and with the failure when the server
     has not completed it. It is not called when the client left, was too slow, or was cut by a stop.
     `on_close` is called at the end in all cases: the server no longer works on the request.
+    `sending` sends the rest of the request meanwhile; it is cancelled at the end.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self._waits_for_server = False
         self._complete = False
         self._closed = False
+        self.sending: asyncio.Task[None] | None = None
         self.on_end: Callable[[Outcome], None] = _ignore
         self.on_close: Callable[[], None] = _ignore
 
@@ -79,6 +81,10 @@
         if self._closed:
             return
         self._closed = True
+        if self.sending is not None:
+            # Failures to send have ended the response, which tells why.
+            self.sending.add_done_callback(_retrieve_error)
+            self.sending.cancel()
         if self._complete:
             self._release()
         else:
@@ -110,5 +116,10 @@
         return self._waits_for_server or (not announced and self._passed_bytes > SLOW_CLIENT_BYTES)
 
 
+def _retrieve_error(sending: asyncio.Task[None]) -> None:
+    if not sending.cancelled():
+        sending.exception()
+
+
 def _ignore(*_: Outcome) -> None:
     """Take no notice of the end."""
