Let a granter that reaches no server end its term, and none such stand

A granter that is cut off now stops its calls to owners (tasks cancelled and waited for, connections reset), revokes its lease, then records the end of its terms. A daemon that is cut off doesn't stand for election, and one that is about to stand needs a new connection to a server of the last 0.3 s or opens one.

Failed try: the end of the term recorded before the lease was revoked; the watches of the others pause up to 0.9 s after a change of the map that they know, and the new granter was elected 0.94 s later, 2.5 s after the last grant.

--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -69,7 +69,7 @@
         self._granter_updated.set()
 
     def on_reach_change(self) -> None:
-        """Check now what a cut that has begun or ended changes."""
+        """Stop granting, or stand for election, at once when a cut has begun or ended."""
         self._reach_changed.set()
         self._granter_updated.set()
 
@@ -95,13 +95,13 @@
 
     async def stop(self) -> None:
         """Stop granting and end the lease before a planned stop, so that a successor can start."""
-        if self._lease_id is None:
+        lease_id = self._lease_id
+        if lease_id is None:
             return
-        self._cancel_service_granters()
-        for service_granter in self._granter_by_service.values():
-            await service_granter.stop()
+        await self._stop_service_granters()
+        await self._record_ends()
         try:
-            await self._store.revoke_lease(self._lease_id)
+            await self._store.revoke_lease(lease_id)
         except StoreUnavailableError as error:
             self._session.log.warning(
                 "granter lease not ended, it will expire",
@@ -112,7 +112,9 @@
 
     async def _win_election(self) -> bool:
         session = self._session
-        if session.granter is not None or not self._sharded_services() or session.stopping:
+        if not self._may_stand() or not await self._server_reach.confirm():
+            return False
+        if not self._may_stand():
             return False
         lease_id = await self._store.open_lease(LEASE_TTL)
         try:
@@ -127,14 +129,31 @@
         session.log.event("granter elected", granter=session.granter, lease=lease_id)
         return True
 
+    def _may_stand(self) -> bool:
+        session = self._session
+        return (
+            session.granter is None
+            and not session.stopping
+            and not session.reachability.cut_off
+            and bool(self._sharded_services())
+        )
+
     async def _grant_until_superseded(self) -> None:
-        """Grant until another daemon takes over, the lease or the store is lost, or a task ends."""
+        """Grant until another daemon takes over, or this one can't go on.
+
+        That is when the lease, the store or all servers are lost, or a task has ended.
+        """
         assert self._lease_id is not None
         session = self._session
         last_contact_s = session.now_s
         self._superseded = False
         try:
             while not self._superseded:
+                if session.reachability.cut_off:
+                    session.log.warning("granting stopped", why="no server is reached")
+                    # No call of these terms may be sent once a successor can be elected.
+                    await self._stop_service_granters()
+                    break
                 self._start_service_granters()
                 if any(task.done() for task in self._tasks.values()):
                     break
@@ -146,7 +165,7 @@
                     last_contact_s = session.now_s
                 except StoreUnavailableError as error:
                     session.metrics.count("store_failures", error.step)
-                await asyncio.sleep(LEASE_RENEWAL_S)
+                await self._wait_for_renewal()
         except LeaseLostError:
             session.log.event("granter lease ended")
         finally:
@@ -157,6 +176,28 @@
             if session.granter == session.settings.daemon:
                 session.granter = None
             await self._store.revoke_lease(lease_id)
+            if session.reachability.cut_off:
+                # After the end of the lease: the watches of other daemons pause after a change.
+                await self._record_ends()
+
+    async def _wait_for_renewal(self) -> None:
+        """Wait until the lease is to be renewed, or until a cut from all servers begins or ends."""
+        self._reach_changed.clear()
+        try:
+            async with asyncio.timeout(LEASE_RENEWAL_S):
+                await self._reach_changed.wait()
+        except TimeoutError:
+            return
+
+    async def _stop_service_granters(self) -> None:
+        """Stop all calls to owners; return when none can be sent any more."""
+        tasks = list(self._tasks.values())
+        self._cancel_service_granters()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _record_ends(self) -> None:
+        """Record in the store that the terms have ended."""
+        await asyncio.gather(*(granter.stop() for granter in self._granter_by_service.values()))
 
     def _election_delay_s(self) -> float:
         """Return the delay before an attempt; hosts with more capacity go first."""
