Take a missing response for a slow server only if another server responded

An overdue response now counts only if some server has responded since it was due. That takes the place of discarding such estimates at the end of a cut. Tests of the reported load and of the discarded ejections, which came with the control loop.

--- a/libs/balance/src/fuchsiawell/balance/latency_estimates.py
+++ b/libs/balance/src/fuchsiawell/balance/latency_estimates.py
@@ -22,8 +22,6 @@
 class _Estimate:
     latency_factor: float = 1.0
     updated_at_s: float = 0.0
-    # Whether it was last raised by a response that is still missing.
-    overdue: bool = False
 
 
 class LatencyEstimates:
@@ -45,18 +43,11 @@
         decay = 0.5 ** (max(0.0, now_s - estimate.updated_at_s) / DECAY_HALF_LIFE_S)
         return float(estimate.latency_factor**decay)
 
-    def recent_latency_factor(
-        self, backend_id: str, now_s: float, include_overdue: bool = True
-    ) -> float | None:
-        """Return the latency factor if younger than `MAX_REPORTED_AGE_S`, None otherwise.
-
-        Without `include_overdue` None also if a response is overdue since the last one.
-        """
+    def recent_latency_factor(self, backend_id: str, now_s: float) -> float | None:
+        """Return the latency factor if younger than `MAX_REPORTED_AGE_S`, None otherwise."""
         estimate = self._estimate_by_id.get(backend_id)
         if estimate is None or now_s - estimate.updated_at_s > MAX_REPORTED_AGE_S:
             return None
-        if estimate.overdue and not include_overdue:
-            return None
         return estimate.latency_factor
 
     def record_response(
@@ -80,13 +71,7 @@
         latency_factor = max(
             self.latency_factor(backend_id, now_s), min(factor, LATENCY_FACTOR_RANGE[1])
         )
-        self._estimate_by_id[backend_id] = _Estimate(latency_factor, now_s, overdue=True)
-
-    def discard_overdue_since(self, since_s: float) -> None:
-        """Discard estimates raised by missing responses since a time at which none could arrive."""
-        for backend_id, estimate in list(self._estimate_by_id.items()):
-            if estimate.overdue and estimate.updated_at_s >= since_s:
-                del self._estimate_by_id[backend_id]
+        self._estimate_by_id[backend_id] = _Estimate(latency_factor, now_s)
 
     def forget(self, backend_id: str) -> None:
         """Discard the estimate of a server that was removed."""
--- a/libs/balance/tests/test_in_flight.py
+++ b/libs/balance/tests/test_in_flight.py
@@ -39,3 +39,15 @@
     assert counts.full_report() == {short_id("s"): 4, short_id("t"): 1}
     counts.discard_report("d-2")
     assert counts.full_report() == {short_id("s"): 1, short_id("t"): 1}
+
+
+# Guards against requests that hang in a cut and look like load to the other daemons.
+def test_own_requests_are_left_out_of_reports_when_servers_do_not_have_them() -> None:
+    counts = InFlightCounts()
+    counts.started("s")
+    counts.apply_report("d-2", {short_id("s"): 3}, 0.0)
+    counts.reports_own = False
+    assert counts.own_report() == {}
+    assert counts.combined_report(["d-2"]) == {short_id("s"): 3}
+    assert counts.full_report() == {short_id("s"): 3}
+    assert counts.total("s") == 4
--- a/libs/balance/tests/test_outlier_detection.py
+++ b/libs/balance/tests/test_outlier_detection.py
@@ -47,3 +47,13 @@
         detector.record_failure("s", now_s, unreachable=True)
         now_s += 4.0
         assert detector.admits("s", 0, now_s)
+
+
+# Guards against servers that stay ejected after a cut in which none was reached.
+def test_failures_of_a_cut_are_discarded_and_earlier_ones_kept() -> None:
+    detector = OutlierDetector()
+    detector.record_failure("before", 9.9, unreachable=True)
+    detector.record_failure("during", 10.5, unreachable=True)
+    detector.discard_failures_since(10.0)
+    assert not detector.admits("before", 0, 10.0)
+    assert detector.admits("during", 5, 10.6)
--- a/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
@@ -54,8 +54,12 @@
         session = self._session
         now_s = session.now_s
         for request in session.in_flight.values():
-            factor = (now_s - request.started_s) / max(0.02, request.expected_duration_s)
-            if factor > OVERDUE_FACTOR:
+            expected_s = max(0.02, request.expected_duration_s)
+            factor = (now_s - request.started_s) / expected_s
+            # While no server responds at all, a missing response tells nothing of this one.
+            if factor > OVERDUE_FACTOR and session.reachability.reached_since(
+                request.started_s + expected_s
+            ):
                 session.latency_estimates.record_overdue(
                     request.backend_id, factor / OVERDUE_FACTOR, now_s
                 )
--- a/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
@@ -257,7 +257,6 @@
         else:
             session.log.event("servers reached again", cut_s=round(since_s, 3), **inputs)
             session.outlier_detector.discard_failures_since(reachability.impaired_since_s)
-            session.latency_estimates.discard_overdue_since(reachability.impaired_since_s)
         session.wake()
         if self.on_change is not None:
             self.on_change()
