Report no crash of a server while none is reached

A failed request's server that no longer listens was taken for crashed by the view of one daemon alone. Now another server must accept a connection after the failure (`ServerReach.confirm`). If none does, the failure is judged when servers are reached again, within 10 s: suspected if the server has restarted or still doesn't listen, so that a request which crashes the only server of a site is still found. At most 256 failures are judged at a time. Moved from the forwarder to `CrashReports`, which takes its place among the forwarder's parts.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -22,6 +22,7 @@
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.execute.backend_client import BackendClient
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
+from fuchsiawell.gateway.execute.crash_reports import CrashReports
 from fuchsiawell.gateway.execute.forwarder import Forwarder
 from fuchsiawell.gateway.execute.frontend import FINAL_RESPONSE_TIMEOUT_S, Frontend
 from fuchsiawell.gateway.execute.placement import Placement
@@ -106,7 +107,7 @@
                 session.reachability,
             ),
             Placement(session, self._rate_limiting.permits),
-            self._peers,
+            CrashReports(session, self._peers, self._server_reach),
             relaying,
         )
         self._frontend = Frontend(session, forwarder, protocol)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -7,7 +7,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.control.peer_messages import CrashReport, SuspicionCleared
 from fuchsiawell.gateway.execute.client_request import ClientRequest
 from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.refusal import (
@@ -18,12 +17,12 @@
     unknown_route,
 )
 from fuchsiawell.gateway.session.state import InFlightRequest
-from fuchsiawell.httpio import connect, first_value
+from fuchsiawell.httpio import first_value
 
 if TYPE_CHECKING:
-    from fuchsiawell.gateway.control.peers import PeerMessenger
     from fuchsiawell.gateway.execute.backend_client import BackendClient, Target
     from fuchsiawell.gateway.execute.body import RequestBody
+    from fuchsiawell.gateway.execute.crash_reports import CrashReports
     from fuchsiawell.gateway.execute.placement import Placement
     from fuchsiawell.gateway.execute.relay_messages import RelayOrder
     from fuchsiawell.gateway.execute.relaying import Relaying
@@ -39,8 +38,6 @@
 DEFAULT_RETRY_AFTER_S = 0.5
 # Time for a grant to reach the new owner after this daemon has learned of the assignment.
 GRANT_DELIVERY_S = 0.03
-# Timeout of the connection that tests whether a server still listens.
-PROBE_TIMEOUT_S = 0.3
 # Responses from this status on are server failures: idempotent requests are retried.
 MIN_SERVER_ERROR_STATUS = 500
 # No retry with less time left than this part of the usual service time: it would be pointless.
@@ -56,17 +53,16 @@
         protocol: BackendProtocol,
         backend_client: BackendClient,
         placement: Placement,
-        peers: PeerMessenger,
+        crash_reports: CrashReports,
         relaying: Relaying | None = None,
     ) -> None:
         self._session = session
         self._protocol = protocol
         self._backend_client = backend_client
         self._placement = placement
-        self._peers = peers
+        self._crash_reports = crash_reports
         self._relaying = relaying
         self._last_attempt_id = 0
-        self._probes: set[asyncio.Task[None]] = set()
 
     def prepare(
         self, head: RequestHead, body: RequestBody, now_s: float, order: RelayOrder | None = None
@@ -130,7 +126,6 @@
 
     async def _serve_with_retries(self, request: ClientRequest) -> Response | Refusal:
         """Retry until there is a response; a 5xx response is kept in case all retries fail."""
-        session = self._session
         outcome: Outcome | None = None
         error_response: Response | None = None
         while True:
@@ -183,8 +178,7 @@
                     continue
                 case Response():
                     request.served_by = target
-                    if session.poison_detector.clear(request.fingerprint):
-                        self._broadcast_cleared(request.fingerprint)
+                    self._crash_reports.clear(request.fingerprint)
                     return outcome
                 case NotExecuted():
                     request.maybe_executed = maybe_executed_before
@@ -338,39 +332,13 @@
             case NotExecuted(misdirected=True):
                 return
             case OutcomeUnknown(timed_out=False):
-                self._start_crash_probe(request, target)
+                self._crash_reports.start_probe(request, target)
                 if session.outlier_detector.record_failure(target.backend_id, session.now_s):
                     self._record_ejection(target, outcome.reason)
             case _:
                 if session.outlier_detector.record_failure(target.backend_id, session.now_s):
                     self._record_ejection(target, "consecutive failures")
 
-    def _start_crash_probe(self, request: ClientRequest, target: Target) -> None:
-        task = asyncio.get_running_loop().create_task(self._probe_after_failure(request, target))
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
-
-    async def _probe_after_failure(self, request: ClientRequest, target: Target) -> None:
-        """Record a suspected crash if the server of a failed request no longer listens.
-
-        The probe is needed because overloaded servers reset connections too.
-        """
-        try:
-            connection = await connect(target.host, target.port, PROBE_TIMEOUT_S)
-        except ConnectionResetError:
-            return
-        except OSError:
-            self._log("crash suspected", request, server=target.backend_id, peer=target.peer)
-            self._session.poison_detector.record_crash(
-                request.fingerprint, target.incarnation_id, self._session.now_s
-            )
-            self._peers.broadcast(CrashReport(request.fingerprint, target.incarnation_id))
-            return
-        connection.close()
-
-    def _broadcast_cleared(self, fingerprint: int) -> None:
-        self._peers.broadcast(SuspicionCleared(fingerprint))
-
     def _record_ejection(self, target: Target, reason: str) -> None:
         # Metric and event are named "pause" for an ejection; operators match both names.
         self._session.metrics.count("server_pauses", target.backend_id)
--- a/libs/gateway/tests/test_forwarder.py
+++ b/libs/gateway/tests/test_forwarder.py
@@ -8,11 +8,15 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 import pytest
 
 from fuchsiawell.gateway.control.peers import PeerMessenger
+from fuchsiawell.gateway.control.server_reach import ServerReach
 from fuchsiawell.gateway.execute.backend_client import Target
+from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
+from fuchsiawell.gateway.execute.crash_reports import CrashReports
 from fuchsiawell.gateway.execute.forwarder import ClientRequest, Forwarder
 from fuchsiawell.gateway.execute.outcome import NotExecuted, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
@@ -22,6 +26,9 @@
 
 from builders import configuration, session
 
+if TYPE_CHECKING:
+    from fuchsiawell.gateway.session.state import Session
+
 
 class FakeBody:
     buffered = b""
@@ -51,6 +58,11 @@
         return self._outcomes.pop(0)
 
 
+def crash_reports(gateway_session: Session) -> CrashReports:
+    server_reach = ServerReach(gateway_session, ConnectionPool(gateway_session.clock))
+    return CrashReports(gateway_session, PeerMessenger(gateway_session), server_reach)
+
+
 async def serve(placements: list, outcomes: list, route_number: int = 0) -> Refusal:
     gateway_session = session()
     gateway_session.configuration = configuration()
@@ -65,7 +77,7 @@
         None,
         FakeBackendClient(*outcomes),
         FakePlacement(*placements),
-        PeerMessenger(gateway_session),
+        crash_reports(gateway_session),
     )
     return await forwarder.serve(request)
 
@@ -118,7 +130,7 @@
         PlatformFields(),
         FakeBackendClient(),
         FakePlacement(),
-        PeerMessenger(gateway_session),
+        crash_reports(gateway_session),
     )
     for path, expected in ((b"/a/1", Refusal), (b"/once/1", ClientRequest)):
         head = RequestHead(b"GET", path, [(b"host", b"a.example")])
@@ -154,7 +166,7 @@
         fields,
         FakeBackendClient(),
         FakePlacement(),
-        PeerMessenger(gateway_session),
+        crash_reports(gateway_session),
     )
     head = RequestHead(b"GET", b"/a/1", [(b"host", b"a.example")])
     request = forwarder.prepare(head, FakeBody(), gateway_session.now_s)
