Discard a round of probes whose timeouts came late

A process that stood still, or an event loop that is late by seconds, ends the probes' timeouts before it sees that the connections are open, and the daemon held itself for cut off. A round without success in which a timeout came over 0.2 s late now counts for nothing and is repeated; before, only a round of over 1.5 s did.

--- a/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
@@ -24,8 +24,9 @@
 PROBE_TIMEOUT_S = 0.4
 # A cut may also accept a connection and reset it at once: it must stay open for this long.
 PROBE_SETTLE_S = 0.03
-# A round that took longer shows that the process was suspended, and tells nothing.
-MAX_ROUND_S = 1.5
+# A timeout that comes later than this shows that the process stood still: the connection may have
+# been open in time.
+MAX_TIMEOUT_DELAY_S = 0.2
 # No further round this long after one that reached a server.
 REST_AFTER_SUCCESS_S = 1.0
 # Interval between probes while cut off, with jitter, since many daemons may be cut off together.
@@ -51,6 +52,8 @@
         self._round_started_s = 0.0
         self._next_probe_s = float("-inf")
         self._probe_results: Counter[str] = Counter()
+        # Whether the process stood still during the present round, so that failures tell nothing.
+        self._stood_still = False
 
     async def run(self) -> None:
         """Check at each interval until cancelled."""
@@ -133,6 +136,7 @@
             "servers": len(session.directory.by_id),
         }
         self._probe_results.clear()
+        self._stood_still = False
         if was_cut_off:
             reached = await self._probe_for_end()
             jitter = session.random.uniform(1.0 - CUT_OFF_JITTER, 1.0 + CUT_OFF_JITTER)
@@ -141,12 +145,8 @@
             reached = await self._reach_any(self._candidates())
             rest_s = REST_AFTER_SUCCESS_S if reached else 0.0
         now_s = session.now_s
-        if not reached and now_s - self._round_started_s > MAX_ROUND_S:
-            session.log.warning(
-                "probes of servers discarded",
-                why="process stood still",
-                seconds=round(now_s - self._round_started_s, 3),
-            )
+        if not reached and self._stood_still:
+            session.metrics.count("server_probes_discarded")
             return
         self._next_probe_s = now_s + rest_s
         if not was_cut_off or not reached:
@@ -220,9 +220,12 @@
         """Return whether a server accepts a connection, which then goes to the pool."""
         session = self._session
         session.metrics.count("server_probes")
+        started_s = session.now_s
         try:
             connection = await connect(backend.host, backend.port, PROBE_TIMEOUT_S)
         except OSError as error:
+            if session.now_s - started_s > PROBE_TIMEOUT_S + MAX_TIMEOUT_DELAY_S:
+                self._stood_still = True
             return self._record_failure(backend, str(error) or "timed out")
         try:
             await asyncio.sleep(PROBE_SETTLE_S)
