Keep versions from going back at a hop, and leave silent relays alone

Cause: a relay may have a later configuration than the origin, which would use its own older one for the next request once the cut is over; and a relay that stands still takes requests until their deadlines, one after the other.

Change: after a cut, requests go on through relays until the origin has the version that they have shown. A relay that has not answered for 1 s, and 2.5 times the usual service time, is asked only if no other is left.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from fuchsiawell.balance import RelayCandidate, RelaySelector
@@ -25,6 +26,9 @@
 # For how long a daemon is not asked after it said that it is of no use now, after it was lost with
 # a request, and after it could not be connected to, as those of an earlier release.
 UNAVAILABLE_S, LOST_S, UNREACHABLE_S = 2.0, 2.0, 5.0
+# A daemon that has not answered for this long, and for this many times the usual service time, is
+# asked only if no other is left.
+SILENT_S, OVERDUE_FACTOR = 1.0, 2.5
 # For clients of requests whose bodies cannot be sent again, before jitter.
 RETRY_AFTER_S = 0.25
 
@@ -51,8 +55,21 @@
         self._shown_version = 0
 
     def is_due(self, request: ClientRequest) -> bool:
-        """Return whether a request is to be sent through another daemon now."""
-        return request.may_relay and self._session.reachability.cut_off
+        """Return whether a request is to be sent through another daemon now.
+
+        Also after the cut until this daemon has the configuration that relays have shown to its
+        clients.
+        """
+        return request.may_relay and (self._session.reachability.cut_off or self._is_behind)
+
+    @property
+    def _is_behind(self) -> bool:
+        return self._version < self._shown_version
+
+    @property
+    def _version(self) -> int:
+        configuration = self._session.configuration
+        return configuration.version if configuration else 0
 
     async def send(self, request: ClientRequest) -> Response | Refusal | OutcomeUnknown | None:
         """Return the answer of a relay, or how it was lost.
@@ -88,7 +105,14 @@
         sent_s = session.now_s
         session.metrics.count("hops_sent", relay.name)
         maybe_executed_before, request.maybe_executed = request.maybe_executed, True
-        outcome, reply = await self._client.send(relay, request, order)
+        service_time_s = session.latency_estimates.service_time_s(request.route.name)
+        silence = asyncio.get_running_loop().call_later(
+            max(SILENT_S, OVERDUE_FACTOR * service_time_s), self._avoid_silent, relay.name
+        )
+        try:
+            outcome, reply = await self._client.send(relay, request, order)
+        finally:
+            silence.cancel()
         if reply is not None:
             self._shown_version = max(self._shown_version, reply.version)
         now_s = session.now_s
@@ -114,12 +138,16 @@
         session.metrics.observe("hop_time", now_s - sent_s)
         return outcome
 
+    def _avoid_silent(self, name: str) -> None:
+        """Prefer other daemons to one that has not answered a request for long."""
+        self._selector.record_silent(name, self._session.now_s, LOST_S)
+        self._session.metrics.count("hops_silent", name)
+
     def _order(self, request: ClientRequest) -> RelayOrder:
         session = self._session
-        version = session.configuration.version if session.configuration else 0
         return RelayOrder(
-            version=version,
-            min_version=max(version, self._shown_version),
+            version=self._version,
+            min_version=max(self._version, self._shown_version),
             service=request.service,
             # One attempt is kept, if possible, for the case that the relay is lost.
             max_attempts=max(1, request.route.max_attempts - request.attempts - 1),
