Send a long upload only to a relay that takes it

Cause: of a body over 1 MiB, what is sent beyond the buffer cannot be sent again, so an upload whose first relay turned out to be cut off or gone was refused.

Change: for such bodies the head asks for a go-ahead (`expect: 100-continue`); without one within 0.5 s, or after a refusal, another daemon is asked. Costs one round trip for uploads over 1 MiB, nothing for others.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
@@ -39,6 +39,8 @@
 
 # Another daemon is asked if a connection takes longer.
 CONNECT_TIMEOUT_S = 0.25
+# Another daemon is asked if one does not say in this time whether it takes a long body.
+GO_AHEAD_TIMEOUT_S = 0.5
 # Idle connections kept to one daemon, and to all together.
 MAX_IDLE_PER_RELAY, MAX_IDLE_CONNECTIONS = 8, 64
 # Interval of checks for connections that have been idle for too long, while there are any.
@@ -105,22 +107,34 @@
         body, peer = request.body, connection.peer
         remaining = timedelta(seconds=request.deadline_s - self._clock.monotonic())
         fields = self._protocol.relayed_fields(request.head.fields, remaining)
-        outgoing = RequestHead(
-            request.head.method, request.head.target, [*fields, encode_message(order)]
-        )
+        streamed = not body.fully_buffered
+        if streamed:
+            # What is sent of it beyond the buffer cannot be sent to another relay.
+            fields = [*fields, (b"expect", b"100-continue")]
+        fields = [*fields, encode_message(order)]
+        outgoing = RequestHead(request.head.method, request.head.target, fields)
         length_bytes = len(body.buffered) if body.fully_buffered else body.length_bytes
         send_task: asyncio.Task[None] | None = None
+        awaits_go_ahead = streamed
         completed = False
         try:
             async with asyncio.timeout(remaining.total_seconds()):
                 exchange = connection.start(outgoing, length_bytes)
-                send_task = await start_sending(exchange, body, connection)
+                if not streamed or await _body_wanted(exchange):
+                    awaits_go_ahead = False
+                    send_task = await start_sending(exchange, body, connection)
                 result = await self._receive(relay_id, connection, exchange)
             completed = True
             return result
         except TimeoutError:
+            if awaits_go_ahead:
+                return NotExecuted("go-ahead of relay", peer, "timed out"), None
             return OutcomeUnknown("relay", peer, "no answer in time", timed_out=True), None
         except (OSError, InvalidResponseError) as error:
+            if awaits_go_ahead:
+                # A relay executes nothing before it has the whole request or a part of its body.
+                reason = str(error) or type(error).__name__
+                return NotExecuted("go-ahead of relay", peer, reason), None
             if (error_of_body := body_error(send_task)) is not None:
                 raise error_of_body from error
             if connection.exchange_count > 1:
@@ -173,6 +187,12 @@
             self._schedule_eviction()
 
 
+async def _body_wanted(exchange: Exchange) -> bool:
+    """Return whether the relay wants the body; raises TimeoutError if it does not say so soon."""
+    async with asyncio.timeout(GO_AHEAD_TIMEOUT_S):
+        return await exchange.body_wanted()
+
+
 def _public(head: ResponseHead) -> ResponseHead:
     """Return a head without what is meant for this daemon only."""
     return replace(head, fields=end_to_end_fields(head.fields, PRIVATE_FIELDS))
--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -120,6 +120,8 @@
         self._must_close = False
         self._stray_response_skipped = False
         self._event_count = 0
+        # A final response that came instead of the go-ahead for the body.
+        self._early_response: h11.Response | None = None
         self._fields: Fields = list(head.fields)
         if first_value(head.fields, b"host") is None:
             # HTTP/1.1 requires the field; a client of HTTP/1.0 need not send it.
@@ -146,6 +148,22 @@
             await self._channel.send(out)
         self._request_sent = True
 
+    async def body_wanted(self) -> bool:
+        """Wait for the response to `expect: 100-continue`; return whether to send the body.
+
+        Raises InvalidResponseError and ConnectionError as `read_response_head`.
+        """
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                self._early_response = event
+                return False
+            if not isinstance(event, h11.InformationalResponse):
+                raise InvalidResponseError("connection closed before the response head")
+            if event.status_code == 100:
+                return True
+        raise InvalidResponseError("interim responses without end")
+
     async def read_response_head(self, is_expected: Callable[[ResponseHead], bool]) -> ResponseHead:
         """Return the first response head for which `is_expected` holds; skip other responses.
 
@@ -155,7 +173,8 @@
         """
         skipped_bytes = 0
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            event = await self._next_event()
+            event: object = self._early_response or await self._next_event()
+            self._early_response = None
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
