Count the attempts that a relay made, and tell it which servers were tried

Cause: a relay is given one attempt less than are left, for the case that it is lost. With `max_attempts` 2 a server's failure behind a relay was final, where a daemon that reaches servers tries a second one (seen: 502 for an idempotent request after one truncated response).

Change: the relay's answer names the servers that it attempted. A 502 of the relay or a 5xx response behind it is followed by another hop while attempts, time and retry budget are left; the order names the servers attempted so far, and the relay prefers others.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/client_request.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/client_request.py
@@ -59,6 +59,12 @@
         """Return the number of attempts so far, by this daemon and by others."""
         return len(self.attempted_backends) + self.relayed_attempts
 
+    @property
+    def tried_backends(self) -> set[str]:
+        """Return the servers that this daemon and the one that sent it here have attempted."""
+        elsewhere = () if self.order is None else self.order.attempted
+        return {*self.attempted_backends, *elsewhere}
+
     @property
     def max_attempts(self) -> int:
         """Return how many attempts it may have here."""
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -134,7 +134,10 @@
                     return error_response or self._final_refusal(request, outcome)
                 answer = await self._relaying.send(request)
                 if isinstance(answer, Response):
-                    return answer
+                    if not self._is_retried(request, answer):
+                        return answer
+                    error_response = answer
+                    continue
                 if isinstance(answer, Refusal):
                     if request.maybe_executed and answer.retry_after is not None:
                         answer = bad_gateway(answer.reason)
@@ -162,9 +165,7 @@
             if not (isinstance(outcome, NotExecuted) and outcome.step == "connect"):
                 request.reached_server = True
             match outcome:
-                case Response(
-                    head, remainder=None
-                ) if head.status >= MIN_SERVER_ERROR_STATUS and self._may_execute_again(request):
+                case Response(head) if self._is_retried(request, outcome):
                     error_response, request.served_by = outcome, target
                     self._log(
                         "try failed",
@@ -198,6 +199,14 @@
                 request.refusals_by_fence[target.fence] += 1
                 await asyncio.sleep(GRANT_DELIVERY_S)
 
+    def _is_retried(self, request: ClientRequest, response: Response) -> bool:
+        """Return whether there is to be another attempt after a response of a server."""
+        return (
+            response.remainder is None
+            and response.head.status >= MIN_SERVER_ERROR_STATUS
+            and self._may_execute_again(request)
+        )
+
     def _count(self, request: ClientRequest) -> None:
         """Count a request once for the retry budget and the rates of keys."""
         if request.counted:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/placement.py
@@ -133,7 +133,7 @@
             and len(self._session.admission_queue(request.service))
         ):
             return "no free slot"
-        attempted = {backend.id for backend in backends} & set(request.attempted_backends)
+        attempted = {backend.id for backend in backends} & request.tried_backends
         avoid = attempted if len(attempted) < len(backends) else set()
         # A limited server is worth a wait for a permit only when no other has free capacity.
         for max_wait_s in (0.0, self._max_permit_wait_s(request)) if limited else (0.0,):
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
@@ -86,18 +86,27 @@
     def _reply(self, request: ClientRequest | Refusal, result: Response | Refusal) -> RelayReply:
         session = self._session
         version = session.configuration.version if session.configuration else 0
+        known = request if isinstance(request, ClientRequest) else None
+        attempted = tuple(known.attempted_backends) if known else ()
         if isinstance(result, Response):
-            server = request.served_by if isinstance(request, ClientRequest) else None
+            server = known.served_by if known else None
             return RelayReply(
                 RelayAnswer.SERVED,
                 version,
                 server=server.backend_id if server else "",
                 incarnation=server.incarnation_id if server else "",
+                attempted=attempted,
             )
         retry_after_ms = (
             None if result.retry_after is None else round(result.retry_after.total_seconds() * 1000)
         )
-        return RelayReply(self._refusal_kind(result), version, result.reason, retry_after_ms)
+        return RelayReply(
+            self._refusal_kind(result),
+            version,
+            result.reason,
+            retry_after_ms,
+            attempted=attempted,
+        )
 
     def _refusal_kind(self, refusal: Refusal) -> RelayAnswer:
         """Return whether another daemon may do better: only if nothing was executed."""
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_messages.py
@@ -57,6 +57,8 @@
     age_ms: int
     # Whether retry budget and key counts of the sender include the request.
     counted: bool
+    # Servers that were attempted before.
+    attempted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -71,6 +73,8 @@
     # The server that sent the response.
     server: str = ""
     incarnation: str = ""
+    # Servers that the relay has attempted.
+    attempted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -96,6 +100,7 @@
         max_attempts=_integer(values, "max_attempts"),
         age_ms=_integer(values, "age_ms"),
         counted=bool(values.get("counted")),
+        attempted=_texts(values, "attempted"),
     )
 
 
@@ -110,6 +115,7 @@
         retry_after_ms=None if retry_after_ms is None else _integer(values, "retry_after_ms"),
         server=_text(values, "server"),
         incarnation=_text(values, "incarnation"),
+        attempted=_texts(values, "attempted"),
     )
 
 
@@ -147,3 +153,10 @@
     if not isinstance(value, str):
         raise ValueError(f"{name} is not a text")
     return value
+
+
+def _texts(values: dict[str, Any], name: str) -> tuple[str, ...]:
+    texts = values.get(name, [])
+    if not isinstance(texts, list) or not all(isinstance(text, str) for text in texts):
+        raise ValueError(f"{name} is not a list of texts")
+    return tuple(texts)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
@@ -29,6 +29,9 @@
 # A daemon that has not answered for this long, and for this many times the usual service time, is
 # asked only if no other is left.
 SILENT_S, OVERDUE_FACTOR = 1.0, 2.5
+BAD_GATEWAY = 502
+# Attempted servers that a relay is told of.
+MAX_NAMED_SERVERS = 8
 # For clients of requests whose bodies cannot be sent again, before jitter.
 RETRY_AFTER_S = 0.25
 
@@ -116,28 +119,45 @@
         if reply is not None:
             self._shown_version = max(self._shown_version, reply.version)
         now_s = session.now_s
+        if reply is None:
+            avoid_s = UNREACHABLE_S if isinstance(outcome, NotExecuted) else LOST_S
+            self._selector.record_unavailable(relay.name, now_s, avoid_s)
+        elif reply.answer is RelayAnswer.UNAVAILABLE:
+            self._selector.record_unavailable(relay.name, now_s, UNAVAILABLE_S)
+        else:
+            self._selector.record_served(relay.name, now_s)
+        if isinstance(outcome, Refusal) and outcome.status == BAD_GATEWAY:
+            # Another attempt may follow if any is left.
+            outcome = OutcomeUnknown("server", str(relay.name), outcome.reason)
         match outcome:
             case NotExecuted():
                 request.maybe_executed = maybe_executed_before
-                avoid_s = UNREACHABLE_S if reply is None else UNAVAILABLE_S
-                self._selector.record_unavailable(relay.name, now_s, avoid_s)
+                if reply is not None and reply.attempted:
+                    self._record_attempts(request, order, reply)
                 self._log_failed(request, relay, outcome)
             case OutcomeUnknown():
-                request.relayed_attempts += order.max_attempts
-                request.reached_server = request.counted = True
-                self._selector.record_unavailable(relay.name, now_s, LOST_S)
+                self._record_attempts(request, order, reply)
                 self._log_failed(request, relay, outcome)
             case Response():
                 assert reply is not None
-                self._selector.record_served(relay.name, now_s)
+                self._record_attempts(request, order, reply)
                 self._record_server(reply, outcome, sent_s)
             case refusal:
                 if refusal.retry_after is not None:
                     request.maybe_executed = maybe_executed_before
-                self._selector.record_served(relay.name, now_s)
         session.metrics.observe("hop_time", now_s - sent_s)
         return outcome
 
+    def _record_attempts(
+        self, request: ClientRequest, order: RelayOrder, reply: RelayReply | None
+    ) -> None:
+        """Record the attempts that a relay has made, or may have made if its answer was lost."""
+        if reply is None:
+            request.relayed_attempts += order.max_attempts
+        else:
+            request.attempted_backends += reply.attempted
+        request.reached_server = request.counted = True
+
     def _avoid_silent(self, name: str) -> None:
         """Prefer other daemons to one that has not answered a request for long."""
         self._selector.record_silent(name, self._session.now_s, LOST_S)
@@ -153,6 +173,7 @@
             max_attempts=max(1, request.route.max_attempts - request.attempts - 1),
             age_ms=round((session.now_s - request.arrived_s) * 1000),
             counted=request.counted,
+            attempted=tuple(request.attempted_backends[-MAX_NAMED_SERVERS:]),
         )
 
     def _select(self, asked: set[str]) -> Peer | None:
