--- a/libs/balance/src/fuchsiawell/balance/relay_selection.py
+++ b/libs/balance/src/fuchsiawell/balance/relay_selection.py
@@ -43,7 +43,7 @@
         self._cumulative_weights: list[float] = []
         # Daemons that were unavailable, and until when they are not asked.
         self._avoided_until_s: dict[str, float] = {}
-        # Daemons that do not answer: asked only if no other is left, until this time.
+        # Daemons that do not answer, and until when they are asked only if no other is left.
         self._silent_until_s: dict[str, float] = {}
         self._served_s: dict[str, float] = {}
 
@@ -93,9 +93,10 @@
         self._avoided_until_s[name] = now_s + avoid_s
         self._served_s.pop(name, None)
 
-    def record_silent(self, name: str, now_s: float, avoid_s: float) -> None:
-        """Ask a daemon only if no other is left for `avoid_s`, unless it serves a request."""
-        self._silent_until_s[name] = now_s + avoid_s
+    def record_silent(self, name: str, sent_s: float, now_s: float, avoid_s: float) -> None:
+        """Ask a daemon that has not answered since `sent_s` only if no other is left."""
+        if self._served_s.get(name, sent_s) <= sent_s:
+            self._silent_until_s[name] = now_s + avoid_s
 
     def _draw(self, names: list[str]) -> str:
         return self._random.choices(names, [self._weights[name] for name in names])[0]
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
@@ -110,7 +110,7 @@
         maybe_executed_before, request.maybe_executed = request.maybe_executed, True
         service_time_s = session.latency_estimates.service_time_s(request.route.name)
         silence = asyncio.get_running_loop().call_later(
-            max(SILENT_S, OVERDUE_FACTOR * service_time_s), self._avoid_silent, relay.name
+            max(SILENT_S, OVERDUE_FACTOR * service_time_s), self._avoid_silent, relay.name, sent_s
         )
         try:
             outcome, reply = await self._client.send(relay, request, order)
@@ -119,7 +119,10 @@
         if reply is not None:
             self._shown_version = max(self._shown_version, reply.version)
         now_s = session.now_s
-        if reply is None:
+        if isinstance(outcome, OutcomeUnknown) and outcome.timed_out:
+            # The server may be slow.
+            self._selector.record_silent(relay.name, sent_s, now_s, LOST_S)
+        elif reply is None:
             avoid_s = UNREACHABLE_S if isinstance(outcome, NotExecuted) else LOST_S
             self._selector.record_unavailable(relay.name, now_s, avoid_s)
         elif reply.answer is RelayAnswer.UNAVAILABLE:
@@ -145,6 +148,13 @@
             case refusal:
                 if refusal.retry_after is not None:
                     request.maybe_executed = maybe_executed_before
+                self._log(
+                    "hop refused",
+                    request,
+                    relay=relay.name,
+                    status=refusal.status,
+                    why=refusal.reason,
+                )
         session.metrics.observe("hop_time", now_s - sent_s)
         return outcome
 
@@ -158,9 +168,9 @@
             request.attempted_backends += reply.attempted
         request.reached_server = request.counted = True
 
-    def _avoid_silent(self, name: str) -> None:
+    def _avoid_silent(self, name: str, sent_s: float) -> None:
         """Prefer other daemons to one that has not answered a request for long."""
-        self._selector.record_silent(name, self._session.now_s, LOST_S)
+        self._selector.record_silent(name, sent_s, self._session.now_s, LOST_S)
         self._session.metrics.count("hops_silent", name)
 
     def _order(self, request: ClientRequest) -> RelayOrder:
