Tell overloaded servers from a cut, and keep a granter whose grants are answered

Overloaded servers reset new connections, from all daemons, while they work on open ones. A daemon took that for a cut from all servers: it aborted its idle connections, and as granter it ended its term although its grants were answered; no successor could open a connection, and all keys were without owner 2.8 s later. Now resets and timeouts of probes count for nothing while responses arrive (refused connections do count), idle connections are aborted only if none arrive, and a granter ends its term only after 0.9 s without any response. A daemon's check for a cut before it stands is left to `confirm`, which has it.

--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -32,6 +32,8 @@
 # A daemon whose host has less than this share of the largest capacity waits this much longer
 # before it tries, which gives the others two rounds of attempts.
 LOW_CAPACITY_RATIO, LOW_CAPACITY_DELAY_S = 0.7, 0.2
+# A response to a grant takes less than this.
+MAX_GRANT_DELAY_S = 0.2
 # Interval between checks when no update triggers one.
 POLL_INTERVAL_S = 0.5
 
@@ -131,12 +133,7 @@
 
     def _may_stand(self) -> bool:
         session = self._session
-        return (
-            session.granter is None
-            and not session.stopping
-            and not session.reachability.cut_off
-            and bool(self._sharded_services())
-        )
+        return session.granter is None and not session.stopping and bool(self._sharded_services())
 
     async def _grant_until_superseded(self) -> None:
         """Grant until another daemon takes over, or this one can't go on.
@@ -149,7 +146,7 @@
         self._superseded = False
         try:
             while not self._superseded:
-                if session.reachability.cut_off:
+                if self._reaches_no_owner():
                     session.log.warning("granting stopped", why="no server is reached")
                     # No call of these terms may be sent once a successor can be elected.
                     await self._stop_service_granters()
@@ -180,6 +177,15 @@
                 # After the end of the lease: the watches of other daemons pause after a change.
                 await self._record_ends()
 
+    def _reaches_no_owner(self) -> bool:
+        """Return whether grants are surely not answered any more.
+
+        They may be in a cut, on open connections, where no new ones can be opened.
+        """
+        reachability = self._session.reachability
+        silent_since_s = self._session.now_s - self._timing.renew_interval_s - MAX_GRANT_DELAY_S
+        return reachability.cut_off and not reachability.reached_since(silent_since_s)
+
     async def _wait_for_renewal(self) -> None:
         """Wait until the lease is to be renewed, or until a cut from all servers begins or ends."""
         self._reach_changed.clear()
--- a/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
@@ -27,8 +27,10 @@
 # A timeout that comes later than this shows that the process stood still: the connection may have
 # been open in time.
 MAX_TIMEOUT_DELAY_S = 0.2
-# No further round this long after one that reached a server.
-REST_AFTER_SUCCESS_S = 1.0
+# No further round this long after one that reached a server, or that overload may explain.
+REST_S = 1.0
+# The same after the first of those in a row: a cut shows soon, as then no responses arrive.
+FIRST_REST_S = 0.4
 # Interval between probes while cut off, with jitter, since many daemons may be cut off together.
 CUT_OFF_INTERVAL_S, CUT_OFF_JITTER = 0.25, 0.3
 # A request is overdue, as a sign of a cut, after this time and this many times the expected one.
@@ -54,6 +56,9 @@
         self._probe_results: Counter[str] = Counter()
         # Whether the process stood still during the present round, so that failures tell nothing.
         self._stood_still = False
+        # Whether a probe of the present round failed as it does at overloaded servers too, and
+        # whether that explained the failures of the last round.
+        self._overload_possible = self._overload_seen = False
 
     async def run(self) -> None:
         """Check at each interval until cancelled."""
@@ -89,6 +94,10 @@
                 return session.reachability.connected_since(since_s)
         return False
 
+    @property
+    def _is_quiet(self) -> bool:
+        return self._session.reachability.is_quiet(self._session.now_s)
+
     def _suspected(self, now_s: float) -> bool:
         session = self._session
         return session.reachability.suspected(now_s, len(session.directory.by_id))
@@ -136,18 +145,24 @@
             "servers": len(session.directory.by_id),
         }
         self._probe_results.clear()
-        self._stood_still = False
+        self._stood_still = self._overload_possible = False
         if was_cut_off:
             reached = await self._probe_for_end()
             jitter = session.random.uniform(1.0 - CUT_OFF_JITTER, 1.0 + CUT_OFF_JITTER)
             rest_s = CUT_OFF_INTERVAL_S * jitter
         else:
             reached = await self._reach_any(self._candidates())
-            rest_s = REST_AFTER_SUCCESS_S if reached else 0.0
+            rest_s = REST_S if reached else 0.0
         now_s = session.now_s
         if not reached and self._stood_still:
-            session.metrics.count("server_probes_discarded")
+            session.metrics.count("server_probes_discarded", "stood still")
+            return
+        if not reached and not was_cut_off and self._overload_possible and not self._is_quiet:
+            session.metrics.count("server_probes_discarded", "overload")
+            self._next_probe_s = now_s + (REST_S if self._overload_seen else FIRST_REST_S)
+            self._overload_seen = True
             return
+        self._overload_seen = False
         self._next_probe_s = now_s + rest_s
         if not was_cut_off or not reached:
             reachability.record_probes(reached, now_s)
@@ -226,6 +241,8 @@
         except OSError as error:
             if session.now_s - started_s > PROBE_TIMEOUT_S + MAX_TIMEOUT_DELAY_S:
                 self._stood_still = True
+            if isinstance(error, (TimeoutError, ConnectionResetError)):
+                self._overload_possible = True
             return self._record_failure(backend, str(error) or "timed out")
         try:
             await asyncio.sleep(PROBE_SETTLE_S)
@@ -234,6 +251,7 @@
             raise
         if not connection.usable:
             connection.abort()
+            self._overload_possible = True
             return self._record_failure(backend, "closed at once")
         session.reachability.record_connected(backend.id, session.now_s)
         self._pool.release(backend.incarnation_id, connection)
@@ -256,7 +274,8 @@
                 failing_s=round(since_s, 3),
                 **inputs,
             )
-            self._pool.discard_all()
+            if self._is_quiet:
+                self._pool.discard_all()
         else:
             session.log.event("servers reached again", cut_s=round(since_s, 3), **inputs)
             session.outlier_detector.discard_failures_since(reachability.impaired_since_s)
