--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
@@ -68,7 +68,7 @@
         if isinstance(result, Response):
             return
         self._session.request_log.write(
-            "hop refused",
+            "hop not served",
             request=request.request_id if isinstance(request, ClientRequest) else None,
             route=request.route.name if isinstance(request, ClientRequest) else None,
             status=result.status,
