Wait a moment for relays that do not have the origin's configuration yet

Cause: the first daemon to learn of a version found all relays older and left them alone for 2 s, in which it had no way to a server.

Change: such a relay answers `outdated`; it is asked last, not left alone, and where all are older the request asks again each 0.1 s for 0.6 s. Numbers in the field between daemons are bounded.

--- a/libs/balance/src/fuchsiawell/balance/relay_selection.py
+++ b/libs/balance/src/fuchsiawell/balance/relay_selection.py
@@ -43,8 +43,8 @@
         self._cumulative_weights: list[float] = []
         # Daemons that were unavailable, and until when they are not asked.
         self._avoided_until_s: dict[str, float] = {}
-        # Daemons that do not answer, and until when they are asked only if no other is left.
-        self._silent_until_s: dict[str, float] = {}
+        # Daemons that may not serve a request, and until when they are asked last.
+        self._doubtful_until_s: dict[str, float] = {}
         self._served_s: dict[str, float] = {}
 
     def set_candidates(self, candidates: Sequence[RelayCandidate]) -> None:
@@ -56,7 +56,7 @@
             for candidate in candidates
         }
         self._cumulative_weights = list(accumulate(self._weights.values()))
-        for by_name in (self._avoided_until_s, self._silent_until_s, self._served_s):
+        for by_name in (self._avoided_until_s, self._doubtful_until_s, self._served_s):
             for name in by_name.keys() - self._weights.keys():
                 del by_name[name]
 
@@ -85,7 +85,7 @@
     def record_served(self, name: str, now_s: float) -> None:
         """Record that a daemon has served a request, or given a final answer to it."""
         self._avoided_until_s.pop(name, None)
-        self._silent_until_s.pop(name, None)
+        self._doubtful_until_s.pop(name, None)
         self._served_s[name] = now_s
 
     def record_unavailable(self, name: str, now_s: float, avoid_s: float) -> None:
@@ -93,17 +93,17 @@
         self._avoided_until_s[name] = now_s + avoid_s
         self._served_s.pop(name, None)
 
-    def record_silent(self, name: str, sent_s: float, now_s: float, avoid_s: float) -> None:
-        """Ask a daemon that has not answered since `sent_s` only if no other is left."""
-        if self._served_s.get(name, sent_s) <= sent_s:
-            self._silent_until_s[name] = now_s + avoid_s
+    def record_doubtful(self, name: str, since_s: float, now_s: float, avoid_s: float) -> None:
+        """Ask a daemon only if no other is left, unless it has served a request after `since_s`."""
+        if self._served_s.get(name, since_s) <= since_s:
+            self._doubtful_until_s[name] = now_s + avoid_s
 
     def _draw(self, names: list[str]) -> str:
         return self._random.choices(names, [self._weights[name] for name in names])[0]
 
     def _is_usable(self, name: str, asked: Collection[str], now_s: float) -> bool:
         return self._is_available(name, asked, now_s) and (
-            self._silent_until_s.get(name, now_s) <= now_s
+            self._doubtful_until_s.get(name, now_s) <= now_s
         )
 
     def _is_available(self, name: str, asked: Collection[str], now_s: float) -> bool:
--- a/libs/balance/tests/test_relay_selection.py
+++ b/libs/balance/tests/test_relay_selection.py
@@ -72,7 +72,7 @@
 # all are slow.
 def test_silent_daemon_is_asked_only_if_no_other_is_left() -> None:
     drawn = selector(*equal(2))
-    drawn.record_silent("d-0", 0.0, 0.5, avoid_s=2.0)
+    drawn.record_doubtful("d-0", 0.0, 0.5, avoid_s=2.0)
     assert {drawn.select((), 1.0) for _ in range(50)} == {"d-1"}
     assert drawn.select({"d-1"}, 1.0) == "d-0"
     drawn.record_served("d-0", 1.0)
@@ -83,5 +83,5 @@
 def test_daemon_that_served_another_request_meanwhile_is_not_silent() -> None:
     drawn = selector(*equal(2))
     drawn.record_served("d-0", 0.4)
-    drawn.record_silent("d-0", 0.0, 1.0, avoid_s=2.0)
+    drawn.record_doubtful("d-0", 0.0, 1.0, avoid_s=2.0)
     assert {drawn.select((), 1.0) for _ in range(50)} == {"d-0", "d-1"}
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
@@ -160,7 +160,7 @@
             release()
         else:
             connection.abort()
-        if reply.answer is RelayAnswer.UNAVAILABLE:
+        if reply.answer in (RelayAnswer.UNAVAILABLE, RelayAnswer.OUTDATED):
             return NotExecuted("relay", connection.peer, reply.reason), reply
         retry_after = (
             None if reply.retry_after_ms is None else timedelta(milliseconds=reply.retry_after_ms)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_frontend.py
@@ -42,21 +42,22 @@
             order = decode_order(head.fields)
         except ValueError as error:
             return Refusal(400, f"not an order of a daemon: {error}")
-        reason = self._unavailable_reason(order)
-        if reason is not None:
-            return RelayUnavailable(503, reason)
+        refusal = self._refuse(order)
+        if refusal is not None:
+            return refusal
         return self._forwarder.prepare(without_private_fields(head), body, started_s, order)
 
-    def _unavailable_reason(self, order: RelayOrder) -> str | None:
+    def _refuse(self, order: RelayOrder) -> RelayUnavailable | None:
         """Return why a request should go through another daemon, None if it can be served here."""
         session = self._session
         if session.stopping:
-            return "stopping"
+            return RelayUnavailable(503, "stopping")
         if session.reachability.cut_off:
-            return "reaches no server"
+            return RelayUnavailable(503, "reaches no server")
         version = session.configuration.version if session.configuration else 0
         if version < order.min_version or session.configuration is None:
-            return f"configuration {version} is older than {order.min_version}"
+            reason = f"configuration {version} is older than {order.min_version}"
+            return RelayUnavailable(503, reason, answer=RelayAnswer.OUTDATED)
         return None
 
     def _record_result(
@@ -111,9 +112,10 @@
     def _refusal_kind(self, refusal: Refusal) -> RelayAnswer:
         """Return whether another daemon may do better: only if nothing was executed."""
         session = self._session
+        if isinstance(refusal, RelayUnavailable):
+            return refusal.answer
         not_executed = refusal.status == 503
-        useless_here = session.reachability.cut_off or session.stopping
-        if isinstance(refusal, RelayUnavailable) or (not_executed and useless_here):
+        if not_executed and (session.reachability.cut_off or session.stopping):
             return RelayAnswer.UNAVAILABLE
         return RelayAnswer.REFUSED
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_messages.py
@@ -30,6 +30,8 @@
 # Fields that are neither taken from clients nor passed on to clients or servers.
 PRIVATE_FIELDS = frozenset({RELAY_FIELD})
 MAX_REASON_LENGTH = 200
+# Larger numbers are invalid.
+MAX_NUMBER = 10**15
 
 
 class RelayAnswer(StrEnum):
@@ -41,6 +43,8 @@
     REFUSED = "refused"
     # Nothing was executed, and another daemon may do better.
     UNAVAILABLE = "unavailable"
+    # Nothing was executed, as the configuration of the relay is not yet the one that is needed.
+    OUTDATED = "outdated"
 
 
 @dataclass(frozen=True)
@@ -81,6 +85,8 @@
 class RelayUnavailable(Refusal):
     """Refusal of a relay that has executed nothing: the sender may ask another daemon."""
 
+    answer: RelayAnswer = RelayAnswer.UNAVAILABLE
+
 
 def encode_message(message: RelayOrder | RelayReply) -> tuple[bytes, bytes]:
     """Return the header field."""
@@ -143,7 +149,7 @@
 
 def _integer(values: dict[str, Any], name: str) -> int:
     value = values.get(name)
-    if not isinstance(value, int) or value < 0:
+    if not isinstance(value, int) or not 0 <= value <= MAX_NUMBER:
         raise ValueError(f"{name} is not a number")
     return value
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relaying.py
@@ -14,7 +14,7 @@
     from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
     from fuchsiawell.gateway.control.limit_tracker import LimitTracker
     from fuchsiawell.gateway.execute.client_request import ClientRequest
-    from fuchsiawell.gateway.execute.relay_client import RelayClient
+    from fuchsiawell.gateway.execute.relay_client import RelayClient, RelayOutcome
     from fuchsiawell.gateway.execute.relay_messages import RelayReply
     from fuchsiawell.gateway.ports import BackendProtocol
     from fuchsiawell.gateway.session.state import Peer, Session
@@ -26,6 +26,9 @@
 # For how long a daemon is not asked after it said that it is of no use now, after it was lost with
 # a request, and after it could not be connected to, as those of an earlier release.
 UNAVAILABLE_S, LOST_S, UNREACHABLE_S = 2.0, 2.0, 5.0
+# For how long a request waits for daemons whose configuration is older than needed, and how often
+# it asks them: a new version reaches them a moment after the first one.
+OUTDATED_WAIT_S, OUTDATED_INTERVAL_S = 0.6, 0.1
 # A daemon that has not answered for this long, and for this many times the usual service time, is
 # asked only if no other is left.
 SILENT_S, OVERDUE_FACTOR = 1.0, 2.5
@@ -81,18 +84,26 @@
         """
         session = self._session
         asked: set[str] = set()
-        while len(asked) < MAX_RELAYS_ASKED:
-            relay = self._select(asked)
+        # Of those asked, the daemons that will soon have the configuration that is needed.
+        outdated: set[str] = set()
+        wait_until_s = min(session.now_s + OUTDATED_WAIT_S, request.deadline_s)
+        while session.now_s < request.deadline_s:
+            relay = self._select(asked) if len(asked) < MAX_RELAYS_ASKED else None
             if relay is None:
-                break
+                if not outdated or session.now_s >= wait_until_s:
+                    break
+                await asyncio.sleep(OUTDATED_INTERVAL_S)
+                asked -= outdated
+                outdated.clear()
+                continue
             asked.add(relay.name)
-            outcome = await self._ask(relay, request)
+            outcome, reply = await self._ask(relay, request)
             if not isinstance(outcome, NotExecuted):
                 return outcome
             if not request.body.replayable:
                 return not_executed(outcome.reason, self._retry_after_s())
-            if session.now_s >= request.deadline_s:
-                break
+            if reply is not None and reply.answer is RelayAnswer.OUTDATED:
+                outdated.add(relay.name)
         request.may_relay = False
         self._log("no relay", request, asked=sorted(asked), peers=len(session.peers_by_name))
         return None
@@ -102,7 +113,7 @@
 
     async def _ask(
         self, relay: Peer, request: ClientRequest
-    ) -> Response | Refusal | NotExecuted | OutcomeUnknown:
+    ) -> tuple[RelayOutcome, RelayReply | None]:
         session = self._session
         order = self._order(request)
         sent_s = session.now_s
@@ -121,12 +132,14 @@
         now_s = session.now_s
         if isinstance(outcome, OutcomeUnknown) and outcome.timed_out:
             # The server may be slow.
-            self._selector.record_silent(relay.name, sent_s, now_s, LOST_S)
+            self._selector.record_doubtful(relay.name, sent_s, now_s, LOST_S)
         elif reply is None:
             avoid_s = UNREACHABLE_S if isinstance(outcome, NotExecuted) else LOST_S
             self._selector.record_unavailable(relay.name, now_s, avoid_s)
         elif reply.answer is RelayAnswer.UNAVAILABLE:
             self._selector.record_unavailable(relay.name, now_s, UNAVAILABLE_S)
+        elif reply.answer is RelayAnswer.OUTDATED:
+            self._selector.record_doubtful(relay.name, now_s, now_s, UNAVAILABLE_S)
         else:
             self._selector.record_served(relay.name, now_s)
         if isinstance(outcome, Refusal) and outcome.status == BAD_GATEWAY:
@@ -156,7 +169,7 @@
                     why=refusal.reason,
                 )
         session.metrics.observe("hop_time", now_s - sent_s)
-        return outcome
+        return outcome, reply
 
     def _record_attempts(
         self, request: ClientRequest, order: RelayOrder, reply: RelayReply | None
@@ -170,7 +183,7 @@
 
     def _avoid_silent(self, name: str, sent_s: float) -> None:
         """Prefer other daemons to one that has not answered a request for long."""
-        self._selector.record_silent(name, sent_s, self._session.now_s, LOST_S)
+        self._selector.record_doubtful(name, sent_s, self._session.now_s, LOST_S)
         self._session.metrics.count("hops_silent", name)
 
     def _order(self, request: ClientRequest) -> RelayOrder:
