Send the rest of an upload through a relay while a long response is passed on

 lets the rest of a long response own the task that sends the request to a server; the client of other daemons (relay_client.py) still cancelled that task as soon as the response began. The server waited for the end of the upload, and the client's connection was reset at the deadline, inside its response.

test_early_long_responses.py also goes through a relay, and its client sends the last 1,000 bytes of 3 MB when the response has begun (without that, the kernels of two daemons took the whole upload and the case passed): 1 of 4 cases failed before (relayed, 3 MB), 4 of 4 pass now.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
@@ -125,6 +125,10 @@
                     send_task = await start_sending(exchange, body, connection)
                 result = await self._receive(relay_id, connection, exchange)
             completed = True
+            answer, _ = result
+            if isinstance(answer, Response) and answer.remainder is not None:
+                # The relay may need the rest of the request to end its response.
+                answer.remainder.sending, send_task = send_task, None
             return result
         except TimeoutError:
             if awaits_go_ahead:
