Keep no versions that newer ones have replaced for followers

Followers get only the newest change of each key, so that replaced values are sent to none and are now dropped.

test_replaced_versions_are_not_kept: 64 versions of 1 MiB held 67,125,200 bytes before, below 2 MiB now.

--- a/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
@@ -90,6 +90,7 @@
             self._complete_after = self._as_of
         if not batch.items:
             return
+        self._batches = deque(_without_replaced(kept, batch) for kept in self._batches)
         self._batches.append(batch)
         self._as_of = max(self._as_of, batch.as_of)
         if len(self._batches) > MAX_KEPT_BATCHES:
@@ -191,6 +192,13 @@
     return StoreChanges(items, batches[-1].as_of)
 
 
+def _without_replaced(kept: StoreChanges, newer: StoreChanges) -> StoreChanges:
+    """Drop the changes that no follower gets any more, as it gets newer ones of their keys."""
+    revisions = {item.key: item.revision for item in newer.items}
+    items = [item for item in kept.items if item.revision > revisions.get(item.key, -1)]
+    return kept if len(items) == len(kept.items) else StoreChanges(items, kept.as_of)
+
+
 async def _read_polls(reader: FrameReader, follower: _Follower) -> None:
     """Read polls until the follower leaves or sends anything else."""
     try:
--- a/libs/gateway/tests/test_change_feed.py
+++ b/libs/gateway/tests/test_change_feed.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from contextlib import suppress
 from math import isfinite
 from random import Random
@@ -179,6 +180,24 @@
     assert [item.revision for item in update.changes.items] == [9]
 
 
+# Guards against a host whose memory fills with versions that newer ones have replaced.
+async def test_replaced_versions_are_not_kept(hub: Hub) -> None:
+    version_bytes = 1024 * 1024
+    hub.relay.reset(5)
+    tracemalloc.start()
+    try:
+        for revision in range(6, 6 + MAX_KEPT_BATCHES):
+            item = Item("config", bytes(version_bytes), revision)
+            hub.relay.publish(StoreChanges([item], revision))
+        del item
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert kept_bytes < 2 * version_bytes
+    update = await _feed().next(hub.peer, 5, LATER_S)
+    assert [item.revision for item in update.changes.items] == [5 + MAX_KEPT_BATCHES]
+
+
 @pytest.mark.parametrize("case", ["too old", "store lost", "never listed"])
 async def test_hub_without_all_requested_changes_reports_a_gap(hub: Hub, case: str) -> None:
     if case != "never listed":
