Read what arrived before a reset while reading is paused

The socket is now polled for an error, which leaves the error there, and reading goes on: the event loop reports the reset behind the last byte, and not as an ordinary end.

The buffer then grows by what the kernel holds of this connection, no more.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-import os
+import select
 import socket
 import struct
 from dataclasses import dataclass
@@ -18,7 +18,7 @@
 # Reading from the socket pauses when this much received data is unread; a body of the usual size
 # fits.
 RECEIVE_BUFFER_LIMIT_BYTES = 256 * 1024
-# While reading is paused, the event loop does not report a reset: the socket is asked this often.
+# While reading is paused, the event loop does not report a reset: the socket is polled this often.
 PAUSED_CHECK_S = 0.2
 
 
@@ -93,6 +93,8 @@
         self._buffer = bytearray()
         self._reading_paused = False
         self._paused_check: asyncio.TimerHandle | None = None
+        # Whether the kernel has ended the connection, so that only what it holds is left to read.
+        self._reset = False
         self._ended = False
         # Whether the peer ended its side before the connection was lost.
         self._closed_by_peer = False
@@ -121,6 +123,7 @@
             len(self._buffer) >= RECEIVE_BUFFER_LIMIT_BYTES
             and self._transport
             and not self._reading_paused
+            and not self._reset
         ):
             self._reading_paused = True
             self._transport.pause_reading()
@@ -308,14 +311,18 @@
             self._paused_check = None
 
     def _check_paused(self) -> None:
-        """End the connection if the peer has reset it while reading is paused."""
+        """Read on if the connection was reset while reading is paused.
+
+        What arrived before the reset may be a whole response: it is buffered, and the event loop
+        reports the reset behind it.
+        """
         self._paused_check = None
         if self._transport is None or self.closing:
             return
-        sock = self._transport.get_extra_info("socket")
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.abort(OSError(code, os.strerror(code)))
+        if _is_reset(self._transport.get_extra_info("socket")):
+            self._reset = True
+            self._reading_paused = False
+            self._transport.resume_reading()
         else:
             self._schedule_paused_check()
 
@@ -347,3 +354,10 @@
         # On a kernel without one of these options, the timeouts of the callers still apply.
         with contextlib.suppress(OSError):
             sock.setsockopt(level, option, value)
+
+
+def _is_reset(sock: socket.socket) -> bool:
+    """Return whether the kernel holds an error of a connection, and leave it there."""
+    poll = select.poll()
+    poll.register(sock, 0)
+    return any(events & select.POLLERR for _, events in poll.poll(0))
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -153,6 +153,55 @@
         assert not exchange.reusable
 
 
+# More than is buffered before reading pauses; the kernel's buffers take the rest.
+LONG_BODY = b"x" * 600_000
+# Longer than the interval at which a paused connection is checked.
+SLOW_READER_S = 0.5
+
+
+# Guards against LOST: a response was cut off that had arrived whole before its server reset the
+# connection, as a server does that closes before it has read the whole request.
+@pytest.mark.parametrize("missing_bytes", [0, 1])
+async def test_what_arrived_before_a_reset_is_read_late(missing_bytes: int) -> None:
+    arrived = asyncio.Event()
+    aborted = asyncio.Event()
+
+    def accept(channel: Channel) -> None:
+        async def serve() -> None:
+            await channel.receive()
+            head = b"HTTP/1.1 200 OK\r\nrequest-id: mine\r\ncontent-length: %d\r\n\r\n"
+            channel.write(head % (len(LONG_BODY) + missing_bytes) + LONG_BODY)
+            await arrived.wait()
+            channel.abort()
+            aborted.set()
+
+        tasks.append(asyncio.get_running_loop().create_task(serve()))
+
+    tasks: list[asyncio.Task[None]] = []
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: Channel(accept), "127.0.0.1", 0)
+    connection = await connect("127.0.0.1", server.sockets[0].getsockname()[1], 5.0)
+    exchange = connection.start(REQUEST_HEAD, 0)
+    await exchange.finish_body()
+    await exchange.read_response_head(is_expected)
+    body = await exchange.read_body_chunk() or b""
+    # The kernels pass on what is left meanwhile.
+    await asyncio.sleep(SLOW_READER_S)
+    arrived.set()
+    await aborted.wait()
+    await asyncio.sleep(SLOW_READER_S)
+    error = ""
+    try:
+        while (chunk := await exchange.read_body_chunk()) is not None:
+            body += chunk
+    except ConnectionError as reset:
+        error = type(reset).__name__
+    assert len(body) == len(LONG_BODY)
+    assert error == ("ConnectionResetError" if missing_bytes else "")
+    connection.abort()
+    server.close()
+
+
 class NullTransport(asyncio.Transport):
     """Drops what is written and is never closed."""
 
