Take a kernel that leaves TCP_INFO empty for one that does not tell

That read as a peer that acknowledges everything: the user timeout was off from the start of each body over 16 KiB, and from 1.6 s on for all, and no check could replace it, so that an upload on a connection that has gone silent for good would wait for its deadline (before: 1.5 s).

Such a kernel is told by the threshold of the receive window, which Linux always sets. It now counts as not telling, as means it: long bodies start with the short limits. From 1.6 s on, it also keeps a limit of 6 s for unacknowledged data instead of none, which with keep-alive is as long as four probes take.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -7,7 +7,7 @@
 import select
 import socket
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -49,6 +49,8 @@
 WORKING_HOST_TIMEOUTS = DeadPeerTimeouts(
     user_timeout_ms=0, keep_alive_idle_s=2, keep_alive_interval_s=1, keep_alive_probes=4
 )
+# The same on a kernel that does not tell whether the peer acknowledges.
+UNOBSERVED_HOST_TIMEOUTS = replace(WORKING_HOST_TIMEOUTS, user_timeout_ms=6000)
 # A client that leaves closes its connection. Silence may come from a slow reader or from a queue at
 # a slow link, and a response is due all the same; the limit bounds the memory for dead clients.
 CLIENT_TIMEOUTS = DeadPeerTimeouts(
@@ -57,8 +59,9 @@
 
 
 # The start of struct tcp_info: retransmission timeouts in a row, segments without acknowledgement,
-# and milliseconds since the last acknowledgement.
-TCP_INFO_FORMAT = struct.Struct("=2xB21xI28xI")
+# milliseconds since the last acknowledgement, and the threshold of the receive window, which Linux
+# always sets.
+TCP_INFO_FORMAT = struct.Struct("=2xB21xI28xI4xI")
 # A peer that has acknowledged nothing for so long, while data was sent to it again, has gone.
 UNRESPONSIVE_MS = 1500
 MIN_RETRANSMISSIONS = 2
@@ -213,9 +216,12 @@
             return None
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FORMAT.size)
-            retransmissions, unacknowledged, silent_ms = TCP_INFO_FORMAT.unpack(info)
+            retransmissions, unacknowledged, silent_ms, window = TCP_INFO_FORMAT.unpack(info)
         except (OSError, struct.error):
             return None
+        if window == 0:
+            # An emulated kernel that leaves most fields at 0.
+            return None
         return bool(
             unacknowledged > 0
             and retransmissions >= MIN_RETRANSMISSIONS
--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -9,6 +9,7 @@
 
 from fuchsiawell.httpio.channel import (
     HOST_TIMEOUTS,
+    UNOBSERVED_HOST_TIMEOUTS,
     WORKING_HOST_TIMEOUTS,
     Channel,
     open_channel,
@@ -101,9 +102,11 @@
         if unresponsive:
             self.channel.abort(TimeoutError("server acknowledges nothing"))
             return
+        if unresponsive is None:
+            self.channel.set_timeouts(UNOBSERVED_HOST_TIMEOUTS)
+            return
         self.channel.set_timeouts(WORKING_HOST_TIMEOUTS)
-        if unresponsive is not None:
-            self._schedule_peer_check()
+        self._schedule_peer_check()
 
 
 class Exchange:
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -23,6 +23,7 @@
 from fuchsiawell.httpio import client as client_module
 from fuchsiawell.httpio.channel import (
     HOST_TIMEOUTS,
+    UNOBSERVED_HOST_TIMEOUTS,
     WORKING_HOST_TIMEOUTS,
     DeadPeerTimeouts,
 )
@@ -364,3 +365,46 @@
         post = RequestHead(b"POST", b"/x", REQUEST_HEAD.fields)
         connection.start(post, 17 * 1024)
         assert _user_timeout_ms(connection) == timeouts.user_timeout_ms
+
+
+class _EmulatedSocket:
+    """Answers TCP_INFO as an emulated kernel does: state and segment sizes, and zeros."""
+
+    def __init__(self) -> None:
+        self.user_timeout_ms = 0
+
+    def getsockopt(self, level: int, option: int, length: int) -> bytes:
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        known = bytes.fromhex("0100000000000000081d0300409c0000a8050000a8050000")
+        return (known + bytes(36) + bytes.fromhex("dc050000") + bytes(200))[:length]
+
+    def setsockopt(self, _: int, option: int, value: int) -> None:
+        if option == socket.TCP_USER_TIMEOUT:
+            self.user_timeout_ms = value
+
+
+class _EmulatedTransport(NullTransport):
+    def __init__(self) -> None:
+        super().__init__()
+        self.socket = _EmulatedSocket()
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return self.socket if name == "socket" else default
+
+
+# Guards against an upload to a server that has gone, which was kept until its deadline: a kernel
+# that accepts TCP_INFO and fills nothing in looked like one whose peer acknowledges everything.
+async def test_a_kernel_that_does_not_tell_keeps_a_limit_for_unacknowledged_data(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client_module, "ACKNOWLEDGED_AFTER_S", 0.02)
+    transport = _EmulatedTransport()
+    channel = Channel()
+    channel.connection_made(transport)
+    connection = ClientConnection(channel, "server")
+    connection.start(RequestHead(b"POST", b"/x", REQUEST_HEAD.fields), 1_000_000)
+    assert transport.socket.user_timeout_ms == HOST_TIMEOUTS.user_timeout_ms
+    await asyncio.sleep(0.1)
+    assert transport.socket.user_timeout_ms == UNOBSERVED_HOST_TIMEOUTS.user_timeout_ms > 0
+    connection.end_exchange()
+    assert transport.socket.user_timeout_ms == HOST_TIMEOUTS.user_timeout_ms
