Give each daemon of the soak a proxy of its own before each server

All daemons of the soak reached a server through one loopback proxy, which could not tell them apart, so that no daemon could be cut off from all servers; and a proxy that has accepted a connection shows no connect that hangs or is refused.

Now each daemon runs under `fuchsiawell.soak.address_translation`, which rewrites the port of each outgoing TCP connection by a table of that daemon (server's port in entries and shard maps -> port of the daemon's proxy). Other ports (store, peers) stay as they are, so grants, releases and probes go the same way as requests. The table is written before the entry. Faults of a server apply to its proxies of all daemons. A proxy can cut its daemon off in three ways: packets are lost (a filter on its sockets, `lose_packets`), open connections are reset and new ones refused, or only new ones refused; a reservation keeps its port meanwhile.

Weighed: one more proxy in series per daemon (twice the forwarding in the soak's one process; dropped), a source address per daemon (a listener cannot refuse by source without reading the SYN), network namespaces (need privileges).

Servers now know which daemon opened the connection that brings a request. The audits of limits and rests count by it instead of by the client's daemon, which is the same today; that of leaving servers counts a request for both, so that a request sent through another daemon counts where the rule says "from that host".

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -41,13 +41,11 @@
         daemons: list[Daemon],
         invariants: InvariantChecker,
         random: Random,
-        daemon_by_request: dict[str, str],
         leaving_audit: LeavingAudit,
     ) -> None:
         self._daemons = daemons
         self._invariants = invariants
         self._random = random
-        self._daemon_by_request = daemon_by_request
         self._leaving_audit = leaving_audit
         self._request_count = 0
         self._stopped = False
@@ -70,7 +68,6 @@
         request_id = f"q{self._request_count}"
         idempotent = kind == "safe"
         self._invariants.record_sent(request_id, idempotent)
-        self._daemon_by_request[request_id] = daemon.name
         loop = asyncio.get_running_loop()
         self._leaving_audit.record_sent(request_id, daemon.name, loop.time())
         fields = [
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -62,7 +62,8 @@
         if mode == 3:
             proxy.reset_connections()
         duration_s = site.random.uniform(1.0, 5.0)
-        site.limit_audit.record_disturbance(name, started_s, started_s + duration_s)
+        for audit in (site.limit_audit, site.recover_audit):
+            audit.record_disturbance(name, started_s, started_s + duration_s)
         await asyncio.sleep(duration_s)
         proxy.clear_faults()
 
@@ -219,12 +220,12 @@
         server.withhold_grant_responses = False
 
     async def _drop_traffic(self, name: str) -> None:
-        site, proxy = self._site, self._site.server_proxies[name]
-        proxy.drop_to_target = site.random.random() < 0.5
-        proxy.drop_from_target = not proxy.drop_to_target or site.random.random() < 0.5
+        site, proxies = self._site, self._site.server_proxies[name]
+        to_server = site.random.random() < 0.5
+        proxies.drop_data(to_server, not to_server or site.random.random() < 0.5)
         started_s = site.clock.monotonic()
         await asyncio.sleep(site.random.uniform(0.5, 4.0))
-        proxy.clear_faults()
+        proxies.clear_faults()
         for daemon in site.daemons:
             # A response with a rest may have been dropped.
             site.rest_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
--- a/libs/soak/src/fuchsiawell/soak/leaving_audit.py
+++ b/libs/soak/src/fuchsiawell/soak/leaving_audit.py
@@ -30,11 +30,17 @@
         """Record that a client sends a request to a daemon."""
         self._sent[request_id] = daemon, now_s
 
-    def record_arrival(self, incarnation_id: str, request_id: str, now_s: float) -> None:
-        """Record that a request reached a server."""
+    def record_arrival(
+        self, incarnation_id: str, request_id: str, now_s: float, sender: str = ""
+    ) -> None:
+        """Record that a request reached a server.
+
+        It counts for the client's daemon, and for the one that sent it if that is another.
+        """
         daemon, sent_s = self._sent.get(request_id, ("", now_s))
-        if (incarnation_id, daemon) in self._told_s:
-            self._arrivals.append((incarnation_id, daemon, sent_s, now_s))
+        for name in {daemon, sender}:
+            if (incarnation_id, name) in self._told_s:
+                self._arrivals.append((incarnation_id, name, sent_s, now_s))
 
     def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
         """Record a restart or freeze of a daemon: what it passed on before no longer counts."""
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -55,7 +55,6 @@
             site.daemons,
             site.invariants,
             Random(seed + 1),
-            site.daemon_by_request,
             site.leaving_audit,
         )
         load = asyncio.create_task(clients.run(options.clients, 0.02))
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 import uvicorn
 
 from fuchsiawell.core import SystemClock
+from fuchsiawell.soak.address_translation import translating, write_table
 from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.invariants import InvariantChecker
 from fuchsiawell.soak.leaving_audit import LeavingAudit
 from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
+from fuchsiawell.soak.recover_audit import RecoverAudit
 from fuchsiawell.soak.rest_audit import RestAudit
+from fuchsiawell.soak.server_proxies import ServerProxies
 from fuchsiawell.standins import MemoryStore, free_ports
 
 from standins.backend_server import BackendServer
@@ -24,11 +28,16 @@
     from pathlib import Path
     from random import Random
 
+    from fuchsiawell.httpio import Channel
+    from fuchsiawell.soak.proxy import CutMode
+
 __all__ = ["SoakSite"]
 
 ROUTE_KINDS = {"safe": "safe", "once": "unsafe", "up": "upload"}
 REQUEST_DURATION_S = 0.02
 LEASE_CHECK_INTERVAL_S = 0.1
+# The peer of the connection that a task of a server serves.
+_peer: ContextVar[str] = ContextVar("peer")
 
 
 class CheckedServer(BackendServer):
@@ -38,7 +47,8 @@
     limit_audit: LimitAudit
     rest_audit: RestAudit
     leaving_audit: LeavingAudit
-    daemon_by_request: dict[str, str]
+    # Daemons that opened the connections to servers, by the address that the server sees.
+    daemon_by_peer: dict[str, str]
     incarnation: int
 
     @property
@@ -50,21 +60,29 @@
         self.rate_limit_values = () if rate_per_s is None else (f"{rate_per_s:g}".encode(),)
         self.limit_audit.record_limit(self.incarnation_id, rate_per_s, self.clock.monotonic())
 
+    @property
+    def sender(self) -> str:
+        """The daemon that sent the current request: the client's, or one that relays for it."""
+        return self.daemon_by_peer[_peer.get()]
+
+    def accept(self, channel: Channel) -> None:
+        _peer.set(channel.peer)
+        super().accept(channel)
+
     def on_arrival(self, request_id: str) -> None:
-        daemon, now_s = self.daemon_by_request.get(request_id, ""), self.clock.monotonic()
+        daemon, now_s = self.sender, self.clock.monotonic()
         self.limit_audit.record_arrival(self.incarnation_id, daemon, now_s)
         self.rest_audit.record_arrival(self.incarnation_id, daemon, now_s)
         # Clients know the ids of servers only; one that leaves has no later incarnation here.
-        self.leaving_audit.record_arrival(self.id, request_id, now_s)
+        self.leaving_audit.record_arrival(self.id, request_id, now_s, daemon)
 
     def on_rest_named(self, request_id: str, values: tuple[bytes, ...]) -> None:
-        daemon, seconds = self.daemon_by_request.get(request_id, ""), float(values[0])
-        now_s = self.clock.monotonic()
-        self.rest_audit.record_rest(self.incarnation_id, daemon, seconds, now_s)
+        seconds, now_s = float(values[0]), self.clock.monotonic()
+        self.rest_audit.record_rest(self.incarnation_id, self.sender, seconds, now_s)
 
     def on_limit_named(self, request_id: str) -> None:
-        daemon = self.daemon_by_request.get(request_id, "")
-        self.limit_audit.record_told(self.incarnation_id, daemon, self.clock.monotonic())
+        now_s = self.clock.monotonic()
+        self.limit_audit.record_told(self.incarnation_id, self.sender, now_s)
 
     def on_execute(self, request_id: str) -> None:
         self.invariants.record_execution(request_id, self.incarnation_id)
@@ -88,12 +106,15 @@
         self.limit_audit = LimitAudit()
         self.rest_audit = RestAudit()
         self.leaving_audit = LeavingAudit()
-        self.daemon_by_request: dict[str, str] = {}
+        self.recover_audit = RecoverAudit()
+        self.daemon_by_peer: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.servers: dict[str, CheckedServer] = {}
-        self.server_proxies: dict[str, Proxy] = {}
+        self.server_proxies: dict[str, ServerProxies] = {}
         self.store_proxies: dict[str, Proxy] = {}
         self.daemons: list[Daemon] = []
+        # Daemons that are cut off from all servers now.
+        self.cut_modes: dict[str, CutMode] = {}
         self.version = 0
         self._folder = folder
         self._server_count = 0
@@ -123,8 +144,12 @@
             name = f"d-{number + 1}"
             proxy = self.store_proxies[name] = Proxy(("127.0.0.1", self._store_port))
             await proxy.start()
-            daemon = Daemon(name, proxy.port, self._folder, program)
+            command = translating(self._table_path(name), program)
+            daemon = Daemon(name, proxy.port, self._folder, command)
             self.daemons.append(daemon)
+            for server in self.servers.values():
+                await self._add_proxy(server, name)
+            self._write_table(name)
             await daemon.start()
         for daemon in self.daemons:
             await daemon.wait_ready()
@@ -160,8 +185,21 @@
         self.store.remove(f"servers/{name}")
         await self.crash_server(name)
 
+    def cut_from_servers(self, daemon: str, mode: CutMode) -> None:
+        """Cut a daemon off from all servers, also from those that are added later."""
+        self.cut_modes[daemon] = mode
+        for proxies in self.server_proxies.values():
+            proxies.cut(daemon, mode)
+
+    async def reconnect_to_servers(self, daemon: str) -> None:
+        """End the cut of a daemon."""
+        del self.cut_modes[daemon]
+        for proxies in list(self.server_proxies.values()):
+            await proxies.end_cut(daemon)
+
     def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
-        """Record that a daemon was restarted, frozen or cut off from servers."""
+        """Record that a daemon was restarted or frozen."""
+        self.recover_audit.record_disturbance(daemon, start_s, end_s)
         self.limit_audit.record_disturbance(daemon, start_s, end_s)
         self.rest_audit.record_disturbance(daemon, start_s, end_s)
         self.leaving_audit.record_disturbance(daemon, start_s, end_s)
@@ -170,7 +208,9 @@
         """Switch off all faults of the store, the proxies and the servers."""
         self.store.unavailable = False
         self.store.responses_to_lose = 0
-        for proxy in [*self.server_proxies.values(), *self.store_proxies.values()]:
+        for proxies in self.server_proxies.values():
+            proxies.clear_faults()
+        for proxy in self.store_proxies.values():
             proxy.clear_faults()
         for server in self.servers.values():
             server.withhold_grant_responses = server.hang = server.close_delimited = False
@@ -187,7 +227,9 @@
         """Stop all processes, servers and tasks of the site."""
         for daemon in self.daemons:
             await daemon.kill()
-        for proxy in [*self.server_proxies.values(), *self.store_proxies.values()]:
+        for proxies in self.server_proxies.values():
+            await proxies.stop()
+        for proxy in self.store_proxies.values():
             await proxy.stop()
         for server in self.servers.values():
             await server.stop()
@@ -203,18 +245,42 @@
         )
         server.invariants, server.incarnation = self.invariants, incarnation
         server.leaving_audit = self.leaving_audit
-        server.limit_audit, server.daemon_by_request = self.limit_audit, self.daemon_by_request
+        server.limit_audit, server.daemon_by_peer = self.limit_audit, self.daemon_by_peer
         server.rest_audit = self.rest_audit
         await server.start()
         self.servers[name] = server
-        proxy = self.server_proxies.get(name)
-        if proxy is None:
-            proxy = self.server_proxies[name] = Proxy(("127.0.0.1", server.port))
-            await proxy.start()
-        proxy.target = ("127.0.0.1", server.port)
+        if name not in self.server_proxies:
+            self.server_proxies[name] = ServerProxies()
+            for daemon in self.daemons:
+                await self._add_proxy(server, daemon.name)
+                self._write_table(daemon.name)
+        self.server_proxies[name].redirect(("127.0.0.1", server.port))
         self.write_server_entry(name, "ready")
         return server
 
+    async def _add_proxy(self, server: CheckedServer, daemon: str) -> None:
+        """Start the proxy of a daemon before a server."""
+
+        def record_peer(port: int) -> None:
+            self.daemon_by_peer[f"127.0.0.1:{port}"] = daemon
+
+        proxies = self.server_proxies[server.id]
+        await proxies.add_daemon(daemon, ("127.0.0.1", server.port), record_peer)
+        if daemon in self.cut_modes:
+            proxies.cut(daemon, self.cut_modes[daemon])
+
+    def _table_path(self, daemon: str) -> Path:
+        return self._folder / f"{daemon}.ports"
+
+    def _write_table(self, daemon: str) -> None:
+        """Write the ports of a daemon's proxies in place of those in servers' entries."""
+        ports = {
+            proxies.port: proxies.by_daemon[daemon].port
+            for proxies in self.server_proxies.values()
+            if daemon in proxies.by_daemon
+        }
+        write_table(self._table_path(daemon), ports)
+
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
--- a/libs/soak/tests/test_clients.py
+++ b/libs/soak/tests/test_clients.py
@@ -28,7 +28,7 @@
         for server in servers:
             await server.start()
         daemons = [cast("Any", FakeDaemon(server.id, server.port)) for server in servers]
-        clients = Clients(daemons, InvariantChecker(), Random(1), {}, LeavingAudit())
+        clients = Clients(daemons, InvariantChecker(), Random(1), LeavingAudit())
         for daemon in daemons * 2:
             await clients.send_request(daemon, 7)
         assert [len(server.executed) for server in servers] == [2, 2]
--- a/libs/soak/tests/test_leaving_audit.py
+++ b/libs/soak/tests/test_leaving_audit.py
@@ -29,3 +29,10 @@
     assert audit.violations() == []
     audit.record_told("i-1", "d-1", 13.0)
     assert len(audit.violations()) == 1
+
+
+# Guards against requests that reach the server through a daemon that has passed it on.
+def test_request_of_another_daemon_counts_for_the_one_that_sends_it() -> None:
+    audit = audit_with_request(20.0, "d-2")
+    audit.record_arrival("i-1", "q1", 20.1, "d-1")
+    assert len(audit.violations()) == 1
