Cut daemons of the soak off from all servers, and count first tries there

The fault `cut_daemons_from_servers` (ServerCuts) goes on beside the series, with a generator of its own (seed + 5), so that earlier seeds keep their series: one, several or all but one daemon at once for 5 to 10 s, each by lost packets, by resets and refusals, or by refusals alone; cuts overlap with each other and with all other faults, and one daemon is never cut. While a daemon is cut, each daemon gets 20 requests/s in an open loop beside the 12 clients, whose requests hang at cut daemons: without it too few first tries count in a cut, where 10 + 1 in 50 failures are tolerated. No client repeats a request, so each is a first try.

So a soak now has a second part: after the series and the recovery, one more cut of 6 to 7 s with no other fault beside it (seed + 6), in which the daemons that are not cut must serve too (two thirds; the same tolerance): a granter that is cut off and keeps granting stops these as well, which the rule, a comparison, cannot see. After it, all keys must be served again once more.

The verdict prints the first tries of each cut.

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 from fuchsiawell.httpio import (
@@ -15,11 +16,13 @@
 from fuchsiawell.soak.invariants import RequestResult
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from fuchsiawell.soak.daemons import Daemon
     from fuchsiawell.soak.invariants import InvariantChecker
     from fuchsiawell.soak.leaving_audit import LeavingAudit
+    from fuchsiawell.soak.recover_audit import RecoverAudit
 
 __all__ = ["Clients"]
 
@@ -42,11 +45,13 @@
         invariants: InvariantChecker,
         random: Random,
         leaving_audit: LeavingAudit,
+        recover_audit: RecoverAudit,
     ) -> None:
         self._daemons = daemons
         self._invariants = invariants
         self._random = random
         self._leaving_audit = leaving_audit
+        self._recover_audit = recover_audit
         self._request_count = 0
         self._stopped = False
         self.connections: dict[int, tuple[Daemon, ClientConnection]] = {}
@@ -57,6 +62,21 @@
             *(self._run_client(number, request_interval_s) for number in range(clients))
         )
 
+    async def run_open_loop(self, interval_s: float, active: Callable[[], bool]) -> None:
+        """Send to each daemon at even intervals while `active`, until `stop`.
+
+        Requests that hang do not slow this load down, as they do that of `run`.
+        """
+        async with asyncio.TaskGroup() as requests:
+            # Connections are kept by client; each of these clients sends one request.
+            for client in itertools.count(-2, -1):
+                await asyncio.sleep(interval_s / len(self._daemons))
+                if self._stopped:
+                    return
+                if active():
+                    daemon = self._daemons[client % len(self._daemons)]
+                    requests.create_task(self._send_once(daemon, client))
+
     def stop(self) -> None:
         """End each client after its current request."""
         self._stopped = True
@@ -84,11 +104,17 @@
             self._close_connection(client)
             result = RequestResult(request_id, idempotent, 0, None, False, b"")
         self._invariants.check_result(result)
+        # No client repeats a request: each is a first try.
+        self._recover_audit.record_first_try(daemon.name, sent_s, result.status == 200)
         late_s = asyncio.get_running_loop().time() - sent_s - REQUEST_DEADLINE_S
         if late_s > 0:
             self._invariants.overdue.append((daemon.name, sent_s + REQUEST_DEADLINE_S, late_s))
         return result
 
+    async def _send_once(self, daemon: Daemon, client: int) -> None:
+        await self.send_request(daemon, self._random.randrange(65536), client)
+        self._close_connection(client)
+
     async def _run_client(self, number: int, request_interval_s: float) -> None:
         while not self._stopped:
             connected = self.connections.get(number)
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -10,6 +10,7 @@
 from fuchsiawell.soak.clients import Clients
 from fuchsiawell.soak.daemons import PROGRAM
 from fuchsiawell.soak.faults import FAULTS, Faults
+from fuchsiawell.soak.server_cuts import ServerCuts
 from fuchsiawell.soak.site import SoakSite
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
 # depend on the speed of the machine.
 RECOVERY_TIMEOUT_S = 90.0
 PROBED_KEYS = range(0, 65536, 4096)
+# During a cut, each daemon gets a request in this time beside those of the clients.
+OPEN_LOOP_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,8 @@
     broken: tuple[str, ...]
     statuses: dict[int, int]
     faults: tuple[str, ...]
+    # First tries at daemons that were cut off from all servers.
+    cuts: tuple[str, ...]
 
 
 async def soak(seed: int, folder: Path, options: SoakOptions) -> Verdict:
@@ -56,12 +61,19 @@
             site.invariants,
             Random(seed + 1),
             site.leaving_audit,
+            site.recover_audit,
         )
-        load = asyncio.create_task(clients.run(options.clients, 0.02))
-        faults = Faults(site)
-        limits = asyncio.create_task(faults.limit_servers(Random(seed + 2)))
-        endless = asyncio.create_task(faults.send_without_end(Random(seed + 3)))
-        rests = asyncio.create_task(faults.rest_servers(Random(seed + 4)))
+        load = asyncio.gather(
+            clients.run(options.clients, 0.02),
+            clients.run_open_loop(OPEN_LOOP_INTERVAL_S, lambda: bool(site.cut_modes)),
+        )
+        faults, cuts = Faults(site), ServerCuts(site)
+        beside = [
+            asyncio.create_task(faults.limit_servers(Random(seed + 2))),
+            asyncio.create_task(faults.send_without_end(Random(seed + 3))),
+            asyncio.create_task(faults.rest_servers(Random(seed + 4))),
+            asyncio.create_task(cuts.run(Random(seed + 5))),
+        ]
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
             await asyncio.sleep(options.fault_interval_s * random.uniform(0.2, 1.8))
@@ -69,24 +81,29 @@
             fault_names.append(fault.__name__)
             running.append(asyncio.ensure_future(fault(faults)))
         await asyncio.gather(*running)
-        limits.cancel()
-        endless.cancel()
-        rests.cancel()
+        for task in beside:
+            task.cancel()
+        await asyncio.wait(beside)
         site.clear_faults()
         await _check_recovery(site, clients)
+        await cuts.cut_alone(Random(seed + 6))
+        await _check_recovery(site, clients)
         clients.stop()
         await load
         site.invariants.check_memory({d.name: d.peak_memory_bytes() for d in site.daemons})
     finally:
         await site.stop()
-    site.invariants.check_overdue(site.limit_audit.excused)
+    # Daemons that are cut off from servers are not excused.
+    site.invariants.check_overdue(lambda *event: not site.recover_audit.in_touch(*event))
     violations = (
         *site.invariants.check_end(),
         *site.limit_audit.violations(),
         *site.rest_audit.violations(),
         *site.leaving_audit.violations(),
+        *site.recover_audit.violations(),
     )
-    return Verdict(seed, violations, dict(site.invariants.statuses), tuple(fault_names))
+    statuses, figures = dict(site.invariants.statuses), tuple(site.recover_audit.figures())
+    return Verdict(seed, violations, statuses, tuple(fault_names), figures)
 
 
 async def _check_recovery(site: SoakSite, clients: Clients) -> None:
--- a/libs/soak/tests/test_recover_audit.py
+++ b/libs/soak/tests/test_recover_audit.py
@@ -58,3 +58,13 @@
     for _ in range(1000):
         result.record_first_try("d-4", 14.0, False)
     assert not result.violations()
+
+
+@pytest.mark.parametrize(("others", "broken"), [((30, 100), True), ((70, 100), False)])
+def test_the_others_must_serve_in_a_cut_without_other_faults(
+    others: tuple[int, int], broken: bool
+) -> None:
+    result = audit((100, 100), others)
+    assert not result.violations()
+    result.record_cut({"d-1", "d-2"}, 10.0, 20.0, alone=True)
+    assert bool(result.violations()) == broken
