Let the mutant that passes strays on lack the last check too

Cause, by reading: it puts the bytes after a response back into the channel's buffer, and ConnectionPool.release drops connections with unread bytes (ClientConnection.usable), so no later request ever saw a stray response. Four checks stand behind the invariant (request id of the response, `reusable`, trailing data, `usable`) and each suffices; the mutant lacked three. It now lacks `usable` too.

--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -18,7 +18,7 @@
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
 from fuchsiawell.gateway.session.state import Session
-from fuchsiawell.httpio import Exchange
+from fuchsiawell.httpio import ClientConnection, Exchange
 from fuchsiawell.shards import GrantExpiryTracker
 
 if TYPE_CHECKING:
@@ -58,6 +58,11 @@
 
     Exchange.reusable = property(keep_connection)  # type: ignore[method-assign, assignment]
 
+    def usable(self: ClientConnection) -> bool:
+        return not self.channel.at_eof and not self.channel.closing
+
+    ClientConnection.usable = property(usable)  # type: ignore[method-assign, assignment]
+
 
 def _move_early() -> None:
     """Move the keys of an unresponsive server before its grants have expired."""
