Compare first tries at daemons that are cut off with others' of the same moments

RecoverAudit added up tries over the whole cut on each side, and left out each daemon's own disturbed times. In the soak, with 3 daemons and other faults beside, the two sums often covered different moments. Now a try counts only while a daemon of each side is in touch.

--- a/libs/soak/src/fuchsiawell/soak/recover_audit.py
+++ b/libs/soak/src/fuchsiawell/soak/recover_audit.py
@@ -54,12 +54,14 @@
 class RecoverAudit:
     """Cuts of daemons from all servers, and the first tries of clients.
 
-    Times are seconds of one clock. A first try counts by the time at which the client sent it.
+    Times are seconds of one clock. A first try counts by the time at which the client sent it, and
+    only while daemons of both sides are in touch: they are compared at the same moments.
     """
 
     def __init__(self) -> None:
         self._cuts: list[_Cut] = []
         self._tries: list[tuple[float, str, bool]] = []
+        self._names: set[str] = set()
         self._disturbances: list[tuple[str, float, float]] = []
 
     def record_cut(
@@ -74,6 +76,7 @@
     def record_first_try(self, daemon: str, sent_s: float, served: bool) -> None:
         """Record a client's first try; one that was refused or not read was not served."""
         insort(self._tries, (sent_s, daemon, served))
+        self._names.add(daemon)
 
     def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
         """Record that a daemon was restarted, frozen or cut off from the store."""
@@ -99,15 +102,20 @@
         sent = {True: 0, False: 0}
         served = {True: 0, False: 0}
         for sent_s, daemon, was_served in self._tries:
-            if not first_s <= sent_s < cut.end_s or not self.in_touch(daemon, sent_s):
+            if not first_s <= sent_s < cut.end_s or daemon not in self._counting(cut, sent_s):
                 continue
             is_cut = daemon in cut.daemons
-            if not is_cut and self._is_cut(daemon, sent_s):
-                continue
             sent[is_cut] += 1
             served[is_cut] += was_served
         return _Figures(cut, sent[True], served[True], sent[False], served[False])
 
+    def _counting(self, cut: _Cut, at_s: float) -> set[str]:
+        """Return the daemons whose tries count now, none if there are none to compare with."""
+        names = {name for name in self._names if self.in_touch(name, at_s)}
+        others = {name for name in names - cut.daemons if not self._is_cut(name, at_s)}
+        at_cut = names & cut.daemons
+        return at_cut | others if at_cut and others else set()
+
     def _is_cut(self, daemon: str, at_s: float) -> bool:
         return any(
             daemon in cut.daemons and cut.start_s <= at_s < cut.end_s + CONTACT_S
--- a/libs/soak/tests/test_recover_audit.py
+++ b/libs/soak/tests/test_recover_audit.py
@@ -52,6 +52,22 @@
     assert not result.violations()
 
 
+# Guards against a comparison of different moments: the only other daemon is frozen at 12 s, so that
+# nobody serves, and tries at it do not count until 15.5 s.
+def test_tries_count_only_while_both_sides_are_in_touch() -> None:
+    result = audit((0, 100), (100, 100), sent_s=14.0)
+    for _ in range(100):
+        result.record_first_try("d-1", 17.0, True)
+        result.record_first_try("d-3", 17.0, True)
+    assert result.violations()
+    result.record_disturbance("d-3", 12.0, 12.5)
+    assert not result.violations()
+    for _ in range(100):
+        result.record_first_try("d-1", 18.0, False)
+        result.record_first_try("d-3", 18.0, True)
+    assert "served 100 of 200 first tries, the others 200 of 200" in result.violations()[0]
+
+
 def test_daemons_of_another_cut_are_not_compared_with() -> None:
     result = audit((90, 100), (100, 100))
     result.record_cut({"d-4"}, 5.0, 12.0)
