Do not let a cut of the soak end half done at a connection that was just lost

A cut by lost packets sets a filter on each connection's socket. One that the loop had closed while the tasks that forward its data had not ended yet refused it (EBADF): `cut_from_servers` raised, the loop of cuts ended without a word, and the daemon stayed cut off from some servers until the last cut.

Closed sockets are passed over; the cut is ended however far it came; a fault beside the series that fails ends the soak with its error. The test fails on the code before with "this machine refuses SO_ATTACH_FILTER: [Errno 9] Bad file descriptor".

--- a/libs/soak/src/fuchsiawell/soak/proxy.py
+++ b/libs/soak/src/fuchsiawell/soak/proxy.py
@@ -119,7 +119,8 @@
     def _client_sockets(self) -> list[socket.socket]:
         sockets = [] if self._server is None else list(self._server.sockets)
         sockets += [writer.get_extra_info("socket") for writer in self._client_writers]
-        return sockets
+        # A connection may have been closed and its tasks not have ended yet.
+        return [sock for sock in sockets if sock.fileno() >= 0]
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if not self._reaches_clients.is_set():
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -83,7 +83,9 @@
         await asyncio.gather(*running)
         for task in beside:
             task.cancel()
-        await asyncio.wait(beside)
+        for outcome in await asyncio.gather(*beside, return_exceptions=True):
+            if not isinstance(outcome, asyncio.CancelledError):
+                raise RuntimeError(f"a fault beside the series failed: {outcome!r}")
         site.clear_faults()
         await _check_recovery(site, clients)
         await cuts.cut_alone(Random(seed + 6))
--- a/libs/soak/src/fuchsiawell/soak/server_cuts.py
+++ b/libs/soak/src/fuchsiawell/soak/server_cuts.py
@@ -41,9 +41,9 @@
     async def _cut(self, modes: dict[str, CutMode], duration_s: float, alone: bool = False) -> None:
         site = self._site
         started_s = site.clock.monotonic()
-        for name, mode in modes.items():
-            site.cut_from_servers(name, mode)
         try:
+            for name, mode in modes.items():
+                site.cut_from_servers(name, mode)
             await asyncio.sleep(duration_s)
         finally:
             ended_s = site.clock.monotonic()
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -193,7 +193,7 @@
 
     async def reconnect_to_servers(self, daemon: str) -> None:
         """End the cut of a daemon."""
-        del self.cut_modes[daemon]
+        self.cut_modes.pop(daemon, None)
         for proxies in list(self.server_proxies.values()):
             await proxies.end_cut(daemon)
 
--- a/libs/soak/tests/test_proxy_cuts.py
+++ b/libs/soak/tests/test_proxy_cuts.py
@@ -83,6 +83,20 @@
         await assert_serves_new_connections(proxy)
 
 
+# Guards against a cut that ends half done, and never ends: the socket of a connection that has just
+# been lost takes no filter any more.
+async def test_packets_are_lost_beside_a_connection_that_was_closed() -> None:
+    async with cut_site() as (proxy, server, _, _):
+        # One turn of the loop closes the sockets, and the tasks that forward data end later.
+        proxy.reset_connections()
+        await asyncio.sleep(0)
+        proxy.cut(CutMode.LOSE)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(SHORT_S):
+                await asyncio.open_connection("127.0.0.1", proxy.port)
+        assert len(server.writers) == 1
+
+
 async def test_connect_hangs_while_packets_are_lost() -> None:
     async with cut_site() as (proxy, server, _, _):
         proxy.cut(CutMode.LOSE)
