Add mutants that never relay and that keep granting while cut off

`never-relay` sends no request through another daemon; `keep-granting` stays granter without reaching any server.

Now a violation must be reported.

--- a/Makefile
+++ b/Makefile
@@ -51,16 +51,17 @@
 soak-short:
 	$(MAKE) soak SEEDS="$(SHORT_SEEDS)"
 
-# One of the seeds must catch each mutant; a soak that does not catch it exits with status 0.
+# One of the seeds must report a violation by each mutant; a soak that fails in another way does not
+# count.
 MUTANTS ?= repeat-all lie pass-strays-on move-early die-at-stop grant-once ignore-limits ignore-rests \
-	ignore-leaving
+	ignore-leaving never-relay keep-granting
 soak-mutants: install
 	@mkdir -p build; for mutant in $(MUTANTS); do \
 		caught=; \
 		for seed in 1 2 3 4 5 6; do \
 			PYTHONPATH=$(PYTHONPATH):$(STANDINS) $(VENV)/bin/python -m fuchsiawell.soak $$seed \
-				--faults 25 --mutant "libs/soak/tests/mutants.py $$mutant" > build/mutant.log 2>&1 \
-				|| { caught=$$seed; break; }; \
+				--faults 25 --mutant "libs/soak/tests/mutants.py $$mutant" > build/mutant.log 2>&1; \
+			grep -q '"broken":\["' build/mutant.log && { caught=$$seed; break; }; \
 		done; \
 		grep -o '"broken":\["[^"]*"' build/mutant.log || true; \
 		echo "$$mutant: caught by seed $${caught:-none}"; \
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -11,12 +11,13 @@
 
 from fuchsiawell.adapter import settings_path
 from fuchsiawell.adapter.run import run_daemon
-from fuchsiawell.balance import RateLimits, ServerRests
+from fuchsiawell.balance import RateLimits, Reachability, ServerRests
 from fuchsiawell.gateway.application import Application
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.execute import forwarder
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
+from fuchsiawell.gateway.execute.relaying import Relaying
 from fuchsiawell.gateway.session.state import Session
 from fuchsiawell.httpio import ClientConnection, Exchange
 from fuchsiawell.shards import GrantExpiryTracker
@@ -108,6 +109,26 @@
     Session.record_leaving = lambda self, backend_id, incarnation_id, source: False  # type: ignore[method-assign]
 
 
+def _never_relay() -> None:
+    """Send no request through another daemon."""
+
+    async def send_nowhere(self: Relaying, request: ClientRequest) -> None:
+        request.may_relay = False
+
+    Relaying.send = send_nowhere  # type: ignore[method-assign]
+
+
+def _keep_granting() -> None:
+    """Stay granter without reaching any server."""
+    is_cut_off = Reachability.cut_off.fget
+
+    def cut_off(self: Reachability) -> bool:
+        asked_by_granter = sys._getframe(1).f_globals["__name__"] == Granter.__module__
+        return not asked_by_granter and bool(is_cut_off(self))
+
+    Reachability.cut_off = property(cut_off)  # type: ignore[method-assign, assignment]
+
+
 MUTANTS = {
     "repeat-all": _repeat_all,
     "lie": _lie,
@@ -118,6 +139,8 @@
     "ignore-limits": _ignore_limits,
     "ignore-rests": _ignore_rests,
     "ignore-leaving": _ignore_leaving,
+    "never-relay": _never_relay,
+    "keep-granting": _keep_granting,
 }
 
 
