--- a/libs/gateway/tests/test_forwarder.py
+++ b/libs/gateway/tests/test_forwarder.py
@@ -20,6 +20,7 @@
 from fuchsiawell.gateway.execute.forwarder import ClientRequest, Forwarder
 from fuchsiawell.gateway.execute.outcome import NotExecuted, OutcomeUnknown, Response
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
+from fuchsiawell.gateway.execute.relay_messages import RelayOrder
 from fuchsiawell.gateway.ports import RequestMetadata
 from fuchsiawell.httpio import RequestHead, ResponseHead
 from fuchsiawell.routing import WeightedService
@@ -172,3 +173,27 @@
     request = forwarder.prepare(head, FakeBody(), gateway_session.now_s)
     assert isinstance(request, ClientRequest)
     assert request.deadline_s - gateway_session.now_s == left_s
+
+
+# Guards against requests of other daemons that count as new, or go to a service that their daemon
+# did not choose.
+def test_request_of_another_daemon_keeps_its_age_its_service_and_its_attempts() -> None:
+    gateway_session = session()
+    gateway_session.configuration = configuration(version=3)
+    forwarder = Forwarder(
+        gateway_session,
+        PlatformFields(),
+        FakeBackendClient(),
+        FakePlacement(),
+        PeerMessenger(gateway_session),
+    )
+    head = RequestHead(b"GET", b"/a/1", [(b"host", b"a.example")])
+    now_s = gateway_session.now_s
+    for version, service in ((3, "chosen"), (2, "s")):
+        order = RelayOrder(version, version, "chosen", 1, 400, counted=True)
+        request = forwarder.prepare(head, FakeBody(), now_s, order)
+        assert isinstance(request, ClientRequest)
+        assert request.service == service
+        assert request.arrived_s == pytest.approx(now_s - 0.4)
+        assert request.deadline_s > now_s
+        assert (request.max_attempts, request.counted, request.may_relay) == (1, True, False)
