Read a response that arrived before a reset told by a failed write

A server that answers an upload early and closes resets the connection, as it has not read all. If the next part of the upload is written before the event loop has read the response, the write fails and asyncio closes the connection with what is unread: the answer was lost (502 to the client, and for a 503 that says so, no other server), though body_sending.py counts on the read that follows. The kernel still holds it: it is now read when the connection is lost with an error.

test_response_before_a_reset_is_read_after_a_failed_write failed before, passes now.

--- a/libs/httpio/src/fuchsiawell/httpio/channel.py
+++ b/libs/httpio/src/fuchsiawell/httpio/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import select
 import socket
 import struct
@@ -147,6 +148,8 @@
         self._ended = True
         self._error = exc or self._error
         self._cancel_paused_check()
+        if exc is not None:
+            self._read_rest()
         self._readable.set()
         self._writable.set()
         self._closed.set()
@@ -332,6 +335,15 @@
         else:
             self._schedule_paused_check()
 
+    def _read_rest(self) -> None:
+        """Buffer what arrived before a reset that a failed write has told first."""
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is None:
+            return
+        with contextlib.suppress(OSError):
+            while data := os.read(sock.fileno(), RECEIVE_BUFFER_LIMIT_BYTES):
+                self._buffer += data
+
     def _notify_disconnect(self) -> None:
         if self.on_disconnect is not None:
             self.on_disconnect()
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -203,6 +203,30 @@
     server.close()
 
 
+# Guards against a server's early response that is lost because more of the request was written
+# before the response was read: the write fails, and the event loop closes the connection.
+async def test_response_before_a_reset_is_read_after_a_failed_write() -> None:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        connection = await connect("127.0.0.1", listener.getsockname()[1], 5.0)
+        accepted, _ = listener.accept()
+    post = RequestHead(b"POST", b"/x", REQUEST_HEAD.fields)
+    exchange = connection.start(post, 2000)
+    await exchange.send_body_chunk(bytes(1000))
+    # Both arrive before the event loop runs again.
+    accepted.sendall(response(b"mine", b"early"))
+    # The request has not been read, so that this resets the connection.
+    accepted.close()
+    with pytest.raises(ConnectionError):
+        for _ in range(2):
+            await exchange.send_body_chunk(bytes(500))
+            await asyncio.sleep(0)
+    await exchange.read_response_head(is_expected)
+    assert await exchange.read_body_chunk() == b"early"
+    connection.abort()
+
+
 class NullTransport(asyncio.Transport):
     """Drops what is written and is never closed."""
 
