Ask an unavailable relay again where no other is left

Change: where all others are avoided, those avoided for 0.25 s or longer are asked again. So each is asked four times a second at most in vain. Weighed: a sign of life (a new start of its entry) ends the time; the entry is written up to 2 s later.

--- a/libs/balance/src/fuchsiawell/balance/relay_selection.py
+++ b/libs/balance/src/fuchsiawell/balance/relay_selection.py
@@ -21,6 +21,8 @@
 MAX_DRAWS = 8
 # After a daemon was unavailable, those that served a request within this time are preferred.
 SERVED_LATELY_S = 2.0
+# Where no other daemon is left, an unavailable one is asked again after this time.
+MIN_AVOIDANCE_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -41,8 +43,9 @@
         self._names: list[str] = []
         self._weights: dict[str, float] = {}
         self._cumulative_weights: list[float] = []
-        # Daemons that were unavailable, and until when they are not asked.
+        # Daemons that were unavailable, until when they are not asked, and since when.
         self._avoided_until_s: dict[str, float] = {}
+        self._avoided_since_s: dict[str, float] = {}
         # Daemons that may not serve a request, and until when they are asked last.
         self._doubtful_until_s: dict[str, float] = {}
         self._served_s: dict[str, float] = {}
@@ -56,7 +59,12 @@
             for candidate in candidates
         }
         self._cumulative_weights = list(accumulate(self._weights.values()))
-        for by_name in (self._avoided_until_s, self._doubtful_until_s, self._served_s):
+        for by_name in (
+            self._avoided_until_s,
+            self._avoided_since_s,
+            self._doubtful_until_s,
+            self._served_s,
+        ):
             for name in by_name.keys() - self._weights.keys():
                 del by_name[name]
 
@@ -80,6 +88,8 @@
         usable = [name for name in self._names if self._is_usable(name, asked, now_s)]
         if not usable:
             usable = [name for name in self._names if self._is_available(name, asked, now_s)]
+        if not usable:
+            usable = [name for name in self._names if self._may_have_returned(name, asked, now_s)]
         return self._draw(usable) if usable else None
 
     def record_served(self, name: str, now_s: float) -> None:
@@ -89,8 +99,9 @@
         self._served_s[name] = now_s
 
     def record_unavailable(self, name: str, now_s: float, avoid_s: float) -> None:
-        """Do not ask a daemon for `avoid_s`."""
+        """Do not ask a daemon for `avoid_s`, or only if no other is left."""
         self._avoided_until_s[name] = now_s + avoid_s
+        self._avoided_since_s[name] = now_s
         self._served_s.pop(name, None)
 
     def record_doubtful(self, name: str, since_s: float, now_s: float, avoid_s: float) -> None:
@@ -108,3 +119,7 @@
 
     def _is_available(self, name: str, asked: Collection[str], now_s: float) -> bool:
         return name not in asked and self._avoided_until_s.get(name, now_s) <= now_s
+
+    def _may_have_returned(self, name: str, asked: Collection[str], now_s: float) -> bool:
+        avoided_s = now_s - self._avoided_since_s.get(name, now_s)
+        return name not in asked and avoided_s >= MIN_AVOIDANCE_S
