Judge the cut daemons of a cut without other faults too where the others fail some

RecoverAudit said that a cut without other faults holds as soon as the others served two thirds of their first tries with more failures than are tolerated, without looking at the cut daemons. Found by reading; no run showed it. test_failures_at_the_others_do_not_excuse_cut_daemons: one violation of two before.

--- a/libs/soak/src/fuchsiawell/soak/recover_audit.py
+++ b/libs/soak/src/fuchsiawell/soak/recover_audit.py
@@ -37,8 +37,12 @@
     @property
     def broken(self) -> bool:
         tolerated = TOLERATED_FAILURES + TOLERATED_FAILURE_RATIO * (self.sent + self.sent_to_others)
-        if self.cut.alone and self.sent_to_others - self.served_by_others > tolerated:
-            return self.served_by_others < MIN_RATIO * self.sent_to_others
+        if (
+            self.cut.alone
+            and self.sent_to_others - self.served_by_others > tolerated
+            and self.served_by_others < MIN_RATIO * self.sent_to_others
+        ):
+            return True
         if self.sent - self.served <= tolerated or not self.sent_to_others:
             return False
         return self.served * self.sent_to_others < MIN_RATIO * self.served_by_others * self.sent
--- a/libs/soak/tests/test_recover_audit.py
+++ b/libs/soak/tests/test_recover_audit.py
@@ -84,3 +84,10 @@
     assert not result.violations()
     result.record_cut({"d-1", "d-2"}, 10.0, 20.0, alone=True)
     assert bool(result.violations()) == broken
+
+
+# The others serve enough of their first tries, though not all, and the cut daemons serve none.
+def test_failures_at_the_others_do_not_excuse_cut_daemons() -> None:
+    result = audit((0, 100), (80, 100))
+    result.record_cut({"d-1", "d-2"}, 10.0, 20.0, alone=True)
+    assert len(result.violations()) == 2
