Keep a rest that a restarted server named before its entry arrived

Cause: d-1 knew i-2/1 still and kept the rest for that incarnation; the new entry discarded it with the old incarnation.

Change: rests named since the knowledge of the store was last confirmed, less 1.2 s for the registration of the server, are carried over to the new incarnation; so are those of an entry that was removed in between. Left open: a server that restarts while it is cut from the store and registers later than that.

--- a/libs/balance/src/fuchsiawell/balance/server_rests.py
+++ b/libs/balance/src/fuchsiawell/balance/server_rests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,6 +22,8 @@
     backend_id: str
     until_s: float
     trial_started_s: float | None = None
+    # When each rest was named and when it ends, without those that a later one outlasts.
+    named: list[tuple[float, float]] = field(default_factory=list)
 
 
 class ServerRests:
@@ -38,6 +40,11 @@
         """Return the number of servers that rest, or have not answered a request since."""
         return len(self._by_incarnation)
 
+    def named_count(self, incarnation_id: str) -> int:
+        """Return how many rests of a server are kept."""
+        rest = self._by_incarnation.get(incarnation_id)
+        return 0 if rest is None else len(rest.named)
+
     def record_named(
         self, backend_id: str, incarnation_id: str, rest_s: float, now_s: float
     ) -> float:
@@ -51,6 +58,8 @@
         rest = self._by_incarnation.setdefault(incarnation_id, _Rest(backend_id, now_s))
         extended_s = until_s - max(now_s, rest.until_s)
         rest.until_s = max(rest.until_s, until_s)
+        rest.named = [(at_s, end_s) for at_s, end_s in rest.named if end_s > until_s]
+        rest.named.append((now_s, until_s))
         return max(0.0, extended_s)
 
     def remaining_s(self, incarnation_id: str, now_s: float) -> float:
@@ -101,10 +110,22 @@
             if incarnation_id in incarnation_ids or now_s < rest.until_s
         }
 
-    def forget(self, backend_id: str) -> None:
-        """Discard the rests of a server that has restarted."""
+    def restart(self, backend_id: str, incarnation_id: str, since_s: float, now_s: float) -> None:
+        """Discard the rests of a server that has restarted, except those named since `since_s`.
+
+        The new incarnation may have named these before its entry arrived.
+        """
+        ends_s = [
+            end_s
+            for known_id, rest in self._by_incarnation.items()
+            if rest.backend_id == backend_id and known_id != incarnation_id
+            for at_s, end_s in rest.named
+            if at_s >= since_s and end_s > now_s
+        ]
         self._by_incarnation = {
-            incarnation_id: rest
-            for incarnation_id, rest in self._by_incarnation.items()
-            if rest.backend_id != backend_id
+            known_id: rest
+            for known_id, rest in self._by_incarnation.items()
+            if rest.backend_id != backend_id or known_id == incarnation_id
         }
+        if ends_s:
+            self.record_named(backend_id, incarnation_id, max(ends_s) - now_s, now_s)
--- a/libs/balance/tests/test_server_rests.py
+++ b/libs/balance/tests/test_server_rests.py
@@ -86,6 +86,27 @@
 def test_restarted_server_has_no_rest() -> None:
     known = rests()
     known.record_named("i-2", "i-2/1", 3.0, 10.0)
-    known.forget("i-1")
+    known.restart("i-1", NEXT_LIFE, 10.5, 11.0)
     assert known.admits(LIFE, 11.0)
+    assert known.admits(NEXT_LIFE, 11.0)
     assert not known.admits("i-2/1", 11.0)
+
+
+# Guards against soak seed 3 (BUDGET): a restarted server named a rest before its new entry reached
+# the daemon, which kept the rest for the old incarnation and forgot it with that.
+def test_rest_named_just_before_the_entry_of_a_restarted_server_holds_for_it() -> None:
+    known = rests(60.0, now_s=2.0)
+    known.record_named("i-1", LIFE, 5.0, 10.0)
+    known.record_named("i-1", LIFE, 1.0, 10.1)
+    known.restart("i-1", NEXT_LIFE, 9.0, 10.2)
+    assert known.remaining_s(NEXT_LIFE, 11.0) == 4.0
+    assert known.free_capacity(NEXT_LIFE, 15.0, 7) == 1
+    assert known.admits(LIFE, 10.2)
+
+
+# Guards against a table that grows with each rest that a server names while it rests.
+def test_rest_that_a_later_one_outlasts_is_not_kept() -> None:
+    known = rests(1.0, now_s=10.0)
+    for number in range(100):
+        known.record_named("i-1", LIFE, 1.0, 10.0 + 0.01 * number)
+    assert known.named_count(LIFE) == 1
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -78,8 +78,8 @@
         self._direct_watch_until_s = 0.0
         # Monotonic time from which this daemon follows a hub; None while it watches the store.
         self._follows_since_s: float | None = None
-        # For logs: where the changes being applied came from, the store or the name of a hub, and
-        # the time until then since the last contact.
+        # Where the changes being applied came from, the store or the name of a hub, and the time
+        # until then since the last contact.
         self._source, self._unconfirmed_s = STORE_SOURCE, 0.0
         self.on_granter_update: Callable[[], None] | None = None
 
@@ -338,7 +338,7 @@
         if backend is None:
             self._session.log.warning("server entry unreadable, ignored", server=backend_id)
             return
-        self._session.update_backend(backend)
+        self._session.update_backend(backend, self._unconfirmed_s)
 
     def _apply_map(self, item: Item) -> bool:
         if item.value is None:
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -40,6 +40,8 @@
 # A daemon whose entry has expired is removed when not heard from for this long; a daemon with any
 # load sends a report twice a second.
 PEER_TIMEOUT_S = 3.0
+# A restarted server may answer requests this long before its new entry is in the store.
+MAX_ENTRY_DELAY_S = 1.2
 # Settings that take effect only after a restart.
 RESTART_ONLY_SETTINGS = ("daemon", "zone", "host", "clients", "readiness", "peers", "metrics")
 # A blocked range is unblocked after this time when no new shard map arrives.
@@ -223,11 +225,21 @@
         for key in stale:
             del self._queues[key]
 
-    def update_backend(self, backend: Backend) -> None:
-        """Add a server or apply its changed entry; a new incarnation resets its statistics."""
+    def update_backend(self, backend: Backend, unconfirmed_s: float = 0.0) -> None:
+        """Add a server or apply its changed entry; a new incarnation resets its statistics.
+
+        `unconfirmed_s` is the age of this daemon's knowledge just before the entry arrived.
+        """
         known = self.directory.by_id.get(backend.id)
         if known is not None and known.incarnation != backend.incarnation:
             self.discard_backend_history(backend.id)
+        if known is None or known.incarnation != backend.incarnation:
+            self.server_rests.restart(
+                backend.id,
+                backend.incarnation_id,
+                self.now_s - unconfirmed_s - MAX_ENTRY_DELAY_S,
+                self.now_s,
+            )
         if backend.draining:
             self.leaving_servers.record(backend.incarnation_id, self.now_s)
         leaving_since_s = self.leaving_servers.since_s(backend.incarnation_id)
@@ -271,12 +283,11 @@
             self.log.event("backend missing", server=backend_id, why="store was in trouble")
 
     def discard_backend_history(self, backend_id: str) -> None:
-        """Discard latency, failures, rate limit and rest of an earlier incarnation."""
+        """Discard latency, failures and rate limit of an earlier incarnation."""
         self.latency_estimates.forget(backend_id)
         self.outlier_detector.forget(backend_id)
         self.reachability.forget(backend_id)
         self.rate_limits.forget(backend_id)
-        self.server_rests.forget(backend_id)
         self.permit_waits.forget(backend_id)
 
     def owner_accepts_requests(self, backend_id: str) -> bool:
--- a/libs/gateway/tests/test_rest_tracker.py
+++ b/libs/gateway/tests/test_rest_tracker.py
@@ -4,6 +4,8 @@
 
 from datetime import datetime, timedelta
 
+import pytest
+
 from fuchsiawell.core import ManualClock
 from fuchsiawell.gateway.control.rest_tracker import RestTracker
 from fuchsiawell.gateway.ports import ResponseMetadata
@@ -88,3 +90,48 @@
     observed = session(ManualClock(1000.0))
     RestTracker(observed).record_response("i-1", "i-1/1", shed(3.0, server_id="i-2"))
     assert observed.metrics.total("rests_named") == 0
+
+
+# Guards against soak seed 3 (BUDGET): a server restarted, named a rest and got requests in it once
+# its new entry arrived, as the daemon kept the rest for the old incarnation.
+@pytest.mark.parametrize("entry_removed", [False, True])
+@pytest.mark.parametrize("unconfirmed_s", [0.0, 4.0])
+def test_rest_named_before_the_entry_of_the_new_incarnation_arrives_holds(
+    entry_removed: bool, unconfirmed_s: float
+) -> None:
+    clock = ManualClock(1000.0)
+    observed = session(clock)
+    observed.update_backend(backend("i-1"))
+    tracker = RestTracker(observed)
+    tracker.record_response("i-1", "i-1/1", shed(8.0))
+    clock.advance(unconfirmed_s + 0.05)
+    if entry_removed:
+        observed.remove_backend("i-1")
+    observed.update_backend(backend("i-1", incarnation=2), unconfirmed_s)
+    assert tracker.is_resting("i-1/2")
+    clock.advance(8.4)
+    assert not tracker.is_resting("i-1/2")
+
+
+def test_rest_named_long_before_a_restart_ends_with_it() -> None:
+    clock = ManualClock(1000.0)
+    observed = session(clock)
+    observed.update_backend(backend("i-1"))
+    tracker = RestTracker(observed)
+    tracker.record_response("i-1", "i-1/1", shed(60.0))
+    clock.advance(3.0)
+    observed.update_backend(backend("i-1", incarnation=2), 0.5)
+    assert not tracker.is_resting("i-1/2")
+
+
+# Guards against a rest that ends because the entry of its server was missing for a moment.
+def test_rest_holds_when_the_entry_of_the_same_incarnation_comes_back() -> None:
+    clock = ManualClock(1000.0)
+    observed = session(clock)
+    observed.update_backend(backend("i-1"))
+    tracker = RestTracker(observed)
+    tracker.record_response("i-1", "i-1/1", shed(8.0))
+    clock.advance(3.0)
+    observed.remove_backend("i-1")
+    observed.update_backend(backend("i-1"))
+    assert tracker.is_resting("i-1/1")
