Grant at once when the answer to an election is lost

Cause: the store carried the election out and lost its answer. `_win_election` raised and left its lease open, so that the key named a daemon that did not know of it, and nobody granted until the lease had expired (1 s).

Ruled out: ending the lease in all cases (correct too, but the next election takes a watch and a random delay more, and its answer may be lost as well).

Change: after an unknown outcome the daemon reads the key. Under its own lease it is elected; else it ends the lease, without which a claim that the store carries out late is refused.

Before: both new tests of test_granter.py fail; after: they pass.

--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -120,9 +120,12 @@
             return False
         lease_id = await self._store.open_lease(LEASE_TTL)
         try:
-            write = Write(GRANTER_KEY, session.settings.daemon.encode(), lease_id, 0)
-            await self._store.write([write])
-        except (ConflictError, LeaseLostError):
+            elected = await self._claim_key(lease_id)
+        except StoreUnavailableError:
+            # A claim that the store carries out late is refused without its lease.
+            await self._store.revoke_lease(lease_id)
+            raise
+        if not elected:
             await self._store.revoke_lease(lease_id)
             await asyncio.sleep(POLL_INTERVAL_S)
             return False
@@ -131,6 +134,21 @@
         session.log.event("granter elected", granter=session.granter, lease=lease_id)
         return True
 
+    async def _claim_key(self, lease_id: int) -> bool:
+        """Write the granter's key if there is none; return whether this daemon owns it."""
+        write = Write(GRANTER_KEY, self._session.settings.daemon.encode(), lease_id, 0)
+        try:
+            await self._store.write([write])
+        except (ConflictError, LeaseLostError):
+            return False
+        except StoreUnavailableError as error:
+            if not error.maybe_applied:
+                raise
+            # Nobody else can be elected while the key is there, so its owner must know of it.
+            item = await self._store.get(GRANTER_KEY)
+            return item is not None and item.lease == lease_id
+        return True
+
     def _may_stand(self) -> bool:
         session = self._session
         return session.granter is None and not session.stopping and bool(self._sharded_services())
--- a/libs/gateway/tests/test_granter.py
+++ b/libs/gateway/tests/test_granter.py
@@ -1,18 +1,107 @@
-"""The granter must not move keys by knowledge of the store that is too old."""
+"""The granter is elected once, and moves no keys by knowledge of the store that is too old."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.control.server_reach import ServerReach
+from fuchsiawell.gateway.control.store_keys import GRANTER_KEY
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
+from fuchsiawell.gateway.ports import StoreUnavailableError
 from fuchsiawell.standins import MemoryStore, VirtualClock, run_in_virtual_time
 
-from builders import configuration, session
+from builders import configuration, log_events, session
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from datetime import timedelta
+
+    from fuchsiawell.gateway.ports import Write
+    from fuchsiawell.gateway.session.state import Session
+
+
+ELECTION_S = 0.6
+
+
+def granter_of(local_session: Session, store: MemoryStore) -> Granter:
+    local_session.configuration = configuration(sharded=True)
+    peers = PeerMessenger(local_session)
+    return Granter(
+        local_session,
+        store,
+        cast("Any", None),
+        peers,
+        LeavingTracker(local_session, peers),
+        ServerReach(local_session, ConnectionPool(local_session.clock)),
+    )
+
+
+class ElectionStore(MemoryStore):
+    """Makes the first claim of the granter's key fail, carried out or not; records leases."""
+
+    def __init__(self, clock: VirtualClock, applied: bool) -> None:
+        super().__init__(clock)
+        self.applied = applied
+        self.failures = 1
+        self.open_leases: set[int] = set()
+
+    async def open_lease(self, ttl: timedelta) -> int:
+        lease_id = await super().open_lease(ttl)
+        self.open_leases.add(lease_id)
+        return lease_id
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        await super().revoke_lease(lease_id)
+        self.open_leases.discard(lease_id)
+
+    async def write(self, writes: Sequence[Write], remove: Sequence[str] = ()) -> int:
+        if writes[0].key == GRANTER_KEY and self.failures:
+            self.failures -= 1
+            if self.applied:
+                await super().write(writes, remove)
+            raise StoreUnavailableError("write", "store", "response lost", maybe_applied=True)
+        return await super().write(writes, remove)
+
+
+# Guards against soak seeds 13 and 5049 (RECOVER): an election was carried out, its answer lost, and
+# nobody granted until the lease ran out, 1 s later.
+def test_daemon_grants_when_the_answer_to_its_election_is_lost() -> None:
+    async def run() -> None:
+        clock = VirtualClock()
+        local_session = session(cast("Any", clock))
+        store = ElectionStore(clock, applied=True)
+        task = asyncio.create_task(granter_of(local_session, store).run())
+        await asyncio.sleep(ELECTION_S)
+        assert local_session.granter == local_session.settings.daemon
+        assert len(log_events(local_session, "granter elected")) == 1
+        assert len(store.open_leases) == 1
+        task.cancel()
+
+    run_in_virtual_time(run())
+
+
+# Guards against a claim that the store carries out later, under a lease that is still open: its
+# daemon would count as granter and grant nothing.
+def test_lease_of_an_election_that_was_not_carried_out_is_ended() -> None:
+    async def run() -> None:
+        clock = VirtualClock()
+        local_session = session(cast("Any", clock))
+        store = ElectionStore(clock, applied=False)
+        task = asyncio.create_task(granter_of(local_session, store).run())
+        while store.failures:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        assert not store.open_leases
+        assert local_session.granter is None
+        await asyncio.sleep(2 * ELECTION_S)
+        assert local_session.granter == local_session.settings.daemon
+        task.cancel()
+
+    run_in_virtual_time(run())
 
 
 # Guards against a granter that moves keys although its watch of the store is silent: renewals of
@@ -21,18 +110,7 @@
     async def run() -> None:
         clock = VirtualClock()
         local_session = session(cast("Any", clock))
-        local_session.configuration = configuration(sharded=True)
-        store = MemoryStore(clock)
-        peers = PeerMessenger(local_session)
-        granter = Granter(
-            local_session,
-            store,
-            cast("Any", None),
-            peers,
-            LeavingTracker(local_session, peers),
-            ServerReach(local_session, ConnectionPool(local_session.clock)),
-        )
-        task = asyncio.create_task(granter.run())
+        task = asyncio.create_task(granter_of(local_session, MemoryStore(clock)).run())
         await asyncio.sleep(5.0)
         assert local_session.granter == local_session.settings.daemon
         assert local_session.store_age_s == clock.monotonic()
