Decay the rates of keys when they are read, not with each report

Seen in a trial without network: 585 reports a second (195 daemons, three each) and five reads cost 1.01 cores of this machine on one `KeyRates`; large hosts have 0.43 to 0.72. Cause: each report decayed the rates of all keys.

Change: rates are kept at a reference time; a report adds weighted counts, a read decays.

--- a/libs/shards/src/fuchsiawell/shards/key_rates.py
+++ b/libs/shards/src/fuchsiawell/shards/key_rates.py
@@ -22,6 +22,8 @@
 FALL_RATIO = 0.4
 # Lower rates are dropped.
 NEGLIGIBLE_PER_S = 0.02
+# Rates are decayed at least once in this many half-lives.
+MAX_HALF_LIVES = 20.0
 # The keys with the most requests are reported.
 MAX_REPORTED_KEYS = 300
 
@@ -70,29 +72,38 @@
 
 
 class _DecayingRates:
-    """Rates that decay exponentially."""
+    """Rates that decay exponentially.
+
+    They are kept as they would be at `_reference_s` without any decay since, so that a report
+    costs no more than the keys that it names, however many keys are known.
+    """
 
     def __init__(self, half_life_s: float) -> None:
         self._half_life_s = half_life_s
-        self._rate_by_key: dict[int, float] = {}
-        self._updated_at_s: float | None = None
+        self._scaled_by_key: dict[int, float] = {}
+        self._reference_s: float | None = None
 
     def add(self, counts: Mapping[int, int], now_s: float) -> None:
-        self._decay(now_s)
+        if self._reference_s is None:
+            self._reference_s = now_s
+        elif now_s > self._reference_s + MAX_HALF_LIVES * self._half_life_s:
+            self.at(now_s)
+        weight = math.log(2) / self._half_life_s / self._decay_until(now_s)
         for key, count in counts.items():
-            rate = self._rate_by_key.get(key, 0.0)
-            self._rate_by_key[key] = rate + count * math.log(2) / self._half_life_s
+            self._scaled_by_key[key] = self._scaled_by_key.get(key, 0.0) + count * weight
 
     def at(self, now_s: float) -> dict[int, float]:
-        self._decay(now_s)
-        return self._rate_by_key
-
-    def _decay(self, now_s: float) -> None:
-        if self._updated_at_s is not None and now_s > self._updated_at_s:
-            factor = 0.5 ** ((now_s - self._updated_at_s) / self._half_life_s)
-            self._rate_by_key = {
+        """Return the rates at a time, which becomes the reference unless it lies before it."""
+        factor = self._decay_until(now_s)
+        if factor < 1.0:
+            self._scaled_by_key = {
                 key: rate * factor
-                for key, rate in self._rate_by_key.items()
+                for key, rate in self._scaled_by_key.items()
                 if rate * factor > NEGLIGIBLE_PER_S
             }
-        self._updated_at_s = now_s
+        self._reference_s = max(now_s, self._reference_s or now_s)
+        return self._scaled_by_key
+
+    def _decay_until(self, now_s: float) -> float:
+        elapsed_s = 0.0 if self._reference_s is None else now_s - self._reference_s
+        return math.pow(0.5, max(0.0, elapsed_s) / self._half_life_s)
--- a/libs/shards/tests/test_key_rates.py
+++ b/libs/shards/tests/test_key_rates.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from fuchsiawell.shards import KeyCounter, KeyRates
@@ -46,3 +48,33 @@
     for step in range(40):
         rates.add({5: 10}, step * 0.5)
     assert rates.rates(22.5)[5] < 5.0
+
+
+class _ScanCountingDict(dict[int, float]):
+    """Counts how often all its items are read."""
+
+    scans = 0
+
+    def items(self) -> Any:
+        self.scans += 1
+        return super().items()
+
+
+# Guards against a granter of hundreds of daemons that is busy with reports alone: each report made
+# it decay the rates of all keys, hundreds of times a second.
+def test_a_report_costs_no_more_than_the_keys_it_names() -> None:
+    rates = KeyRates()
+    rates.add(dict.fromkeys(range(5000), 1), 0.0)
+    known = rates._long_term._scaled_by_key = _ScanCountingDict(rates._long_term._scaled_by_key)
+    for report in range(585):
+        rates.add({report: 1}, report / 585)
+    assert known.scans == 0
+    assert len(rates.rates(1.0)) == 5000
+
+
+# Guards against weights that grow without bound while nobody asks for the rates.
+def test_rates_are_right_after_long_without_a_reader() -> None:
+    rates = KeyRates()
+    for second in range(3600):
+        rates.add({5: 20}, float(second))
+    assert rates.rates(3600.0)[5] == pytest.approx(20.0, rel=0.1)
