Splice shard maps instead of building them anew for each moved range

Cause: each range built all assignments of the map anew, up to three times.

Change: the assignments that overlap a range are found by bisection and replaced.

--- a/libs/shards/src/fuchsiawell/shards/shard_map.py
+++ b/libs/shards/src/fuchsiawell/shards/shard_map.py
@@ -86,45 +86,25 @@
 
     def split_around(self, first: int, last: int) -> ShardMap:
         """Return the map split before `first` and after `last`; owners and fences are unchanged."""
-        ranges: list[Assignment] = []
-        for assignment in self.assignments:
-            starts = [assignment.first]
-            starts += [s for s in (first, last + 1) if assignment.first < s <= assignment.last]
-            ends = [start - 1 for start in starts[1:]] + [assignment.last]
-            ranges += [
-                replace(assignment, first=start, last=end)
-                for start, end in zip(starts, ends, strict=True)
-            ]
-        return replace(self, assignments=tuple(ranges))
+        return replace(self, assignments=_split(_split(self.assignments, first), last + 1))
 
     def assign(self, changes: Iterable[tuple[int, int, Owner | None]]) -> ShardMap:
         """Return the map with each range assigned to its new owner, with a new fence for each."""
-        changed = self
+        assignments, fence = self.assignments, self.next_fence
         for first, last, owner in changes:
-            changed = changed.split_around(first, last)
-            fence = changed.next_fence
-            kept = [a for a in changed.assignments if not first <= a.first <= last]
-            kept.append(Assignment(first, last, fence, owner))
-            kept.sort(key=lambda assignment: assignment.first)
-            changed = replace(changed, assignments=tuple(kept), next_fence=fence + 1)
-        return changed
+            assignments = _replace_range(assignments, Assignment(first, last, fence, owner))
+            fence += 1
+        return replace(self, assignments=assignments, next_fence=fence)
 
     def merge(self, newer: Iterable[Assignment], next_fence: int) -> ShardMap | None:
         """Return the map with newer assignments; None when one of them is outdated."""
-        merged = self
+        assignments = self.assignments
         for assignment in newer:
-            merged = merged.split_around(assignment.first, assignment.last)
-            inside = [
-                a for a in merged.assignments if assignment.first <= a.first <= assignment.last
-            ]
-            if any(a.fence >= assignment.fence for a in inside):
+            start, end = _overlap(assignments, assignment.first, assignment.last)
+            if any(a.fence >= assignment.fence for a in assignments[start:end]):
                 return None
-            kept = [
-                a for a in merged.assignments if not assignment.first <= a.first <= assignment.last
-            ]
-            kept = sorted([*kept, assignment], key=lambda item: item.first)
-            merged = replace(merged, assignments=tuple(kept))
-        return replace(merged, next_fence=next_fence)
+            assignments = _replace_range(assignments, assignment)
+        return replace(self, assignments=assignments, next_fence=next_fence)
 
     def next_term(self, granter: str) -> ShardMap:
         """Return the map of the next term: the same owners, with fences above all earlier ones.
@@ -150,6 +130,35 @@
         )
 
 
+def _overlap(assignments: tuple[Assignment, ...], first: int, last: int) -> tuple[int, int]:
+    """Return the slice of the assignments, which are in order, that overlap a range."""
+    start = bisect_right(assignments, first, key=_first_key) - 1
+    return start, bisect_right(assignments, last, lo=start, key=_first_key)
+
+
+def _first_key(assignment: Assignment) -> int:
+    return assignment.first
+
+
+def _split(assignments: tuple[Assignment, ...], key: int) -> tuple[Assignment, ...]:
+    """Return the assignments split before a key."""
+    position = bisect_right(assignments, key, key=_first_key) - 1
+    if position < 0 or not assignments[position].first < key <= assignments[position].last:
+        return assignments
+    split = assignments[position]
+    parts = (replace(split, last=key - 1), replace(split, first=key))
+    return (*assignments[:position], *parts, *assignments[position + 1 :])
+
+
+def _replace_range(assignments: tuple[Assignment, ...], new: Assignment) -> tuple[Assignment, ...]:
+    """Return the assignments with one in place of what they say of its range."""
+    start, end = _overlap(assignments, new.first, new.last)
+    before, after = assignments[start], assignments[end - 1]
+    kept_before = (replace(before, last=new.first - 1),) if before.first < new.first else ()
+    kept_after = (replace(after, first=new.last + 1),) if after.last > new.last else ()
+    return (*assignments[:start], *kept_before, new, *kept_after, *assignments[end:])
+
+
 def encode_map(shard_map: ShardMap) -> bytes:
     """Encode a map for the store."""
     owners = shard_map.owners
--- a/libs/shards/tests/test_shard_map.py
+++ b/libs/shards/tests/test_shard_map.py
@@ -1,12 +1,21 @@
 from __future__ import annotations
 
 from itertools import pairwise
+from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiawell.shards import KEY_COUNT, Owner, ShardMap, decode_map, encode_map, initial_map
+from fuchsiawell.shards import (
+    KEY_COUNT,
+    Assignment,
+    Owner,
+    ShardMap,
+    decode_map,
+    encode_map,
+    initial_map,
+)
 from fuchsiawell.shards.planner import Member
 
 OWNERS = [Owner(f"i-{n}", 1, "10.0.0.1", 80 + n) for n in range(3)]
@@ -65,3 +74,32 @@
 def test_decode_refuses_other_data(data: bytes) -> None:
     with pytest.raises(ValueError, match="shard map"):
         decode_map(data)
+
+
+def fence_and_owner_by_key(shard_map: ShardMap) -> dict[int, tuple[int, Owner | None]]:
+    return {
+        key: (assignment.fence, assignment.owner)
+        for assignment in shard_map.assignments
+        for key in range(assignment.first, assignment.last + 1)
+    }
+
+
+# Guards against maps that are spliced wrongly at the ends of a range.
+@pytest.mark.parametrize("seed", range(5))
+def test_changed_ranges_and_only_these_have_new_owners(seed: int) -> None:
+    random = Random(seed)
+    owners = [Owner(f"i-{number}", 1, "10.0.0.1", number) for number in range(5)]
+    shard_map = initial_map("s", "d", [Member(owner, 1.0) for owner in owners])
+    for _ in range(30):
+        first = random.choice((0, 13107, random.randrange(KEY_COUNT)))
+        last = min(KEY_COUNT - 1, first + random.choice((0, 1, 500, 40000)))
+        owner = random.choice([None, *owners])
+        expected = fence_and_owner_by_key(shard_map)
+        expected |= dict.fromkeys(range(first, last + 1), (shard_map.next_fence, owner))
+        new = Assignment(first, last, shard_map.next_fence, owner)
+        merged = shard_map.merge([new], shard_map.next_fence + 1)
+        shard_map = shard_map.assign([(first, last, owner)])
+        assert merged == shard_map
+        assert fence_and_owner_by_key(shard_map) == expected
+        assert shard_map.merge([new], shard_map.next_fence) is None
+    assert covers_all_keys(shard_map)
