Spread a hot region of keys over many owners at once

Reproduced without network: 3 s after 200 adjacent keys became hot their owners could bear 79 and 88 of 302 requests a second (208 servers), 51 and 76 (60 keys), 57 and 58 of 98 (69 servers).

Causes: (1) each key is judged alone, and 1.6 requests a second are no news of one key; (2) a move halves the load of the hot owner, so that the new one gets 25 times what it bears, and (3) moved ranges settle for 3 s; (4) eight moves a round, whatever the size of the fleet.

Ruled out: more parallel releases of one owner (each needs a connection of its own, which a server whose queue is long resets): still 8 a round.

--- a/libs/shards/src/fuchsiawell/shards/key_rates.py
+++ b/libs/shards/src/fuchsiawell/shards/key_rates.py
@@ -20,6 +20,9 @@
 # of a long-term rate above `RISE_PER_S`.
 RISE_FACTOR, RISE_PER_S = 2.0, 1.5
 FALL_RATIO = 0.4
+# Busy keys are close to one another: where this many adjacent keys become hot or cold together, few
+# requests for each of them tell it. The higher margin keeps chance from doing so.
+REGION_KEYS, REGION_RISE_PER_S = 256, 6.0
 # Lower rates are dropped.
 NEGLIGIBLE_PER_S = 0.02
 # Rates are decayed at least once in this many half-lives.
@@ -61,16 +64,30 @@
         """Return the long-term rates; the short-term ones for keys that became hot or cold."""
         short_term, long_term = self._short_term.at(now_s), self._long_term.at(now_s)
         rates: dict[int, float] = {}
+        # Sums over the keys that have not changed by themselves.
+        sums_by_region: dict[int, tuple[float, float]] = {}
         for key in short_term.keys() | long_term.keys():
             short_rate, long_rate = short_term.get(key, 0.0), long_term.get(key, 0.0)
-            became_hot = (
-                short_rate > RISE_FACTOR * long_rate and short_rate > long_rate + RISE_PER_S
-            )
-            became_cold = short_rate < FALL_RATIO * long_rate and long_rate > RISE_PER_S
-            rates[key] = short_rate if became_hot or became_cold else long_rate
+            if _has_changed(short_rate, long_rate, RISE_PER_S):
+                rates[key] = short_rate
+                continue
+            rates[key] = long_rate
+            short_sum, long_sum = sums_by_region.get(key // REGION_KEYS, (0.0, 0.0))
+            sums_by_region[key // REGION_KEYS] = short_sum + short_rate, long_sum + long_rate
+        for region, (short_sum, long_sum) in sums_by_region.items():
+            if _has_changed(short_sum, long_sum, REGION_RISE_PER_S):
+                for key in range(region * REGION_KEYS, (region + 1) * REGION_KEYS):
+                    if key in rates:
+                        rates[key] = short_term.get(key, 0.0)
         return rates
 
 
+def _has_changed(short_rate: float, long_rate: float, rise_per_s: float) -> bool:
+    """Return whether the short-term rate shows that keys became hot or cold."""
+    became_hot = short_rate > RISE_FACTOR * long_rate and short_rate > long_rate + rise_per_s
+    return became_hot or (short_rate < FALL_RATIO * long_rate and long_rate > rise_per_s)
+
+
 class _DecayingRates:
     """Rates that decay exponentially.
 
--- a/libs/shards/src/fuchsiawell/shards/planner.py
+++ b/libs/shards/src/fuchsiawell/shards/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import Counter
 from dataclasses import dataclass
 from heapq import nlargest
 from typing import TYPE_CHECKING
@@ -22,8 +23,14 @@
 MIN_UTILIZATION_GAP = 0.12
 # A server with a lower utilization is not hot.
 HOT_UTILIZATION = 0.25
-# Bounds the keys that are blocked at the same time.
+# Bounds the keys that are blocked at the same time, and the calls to one server at the same time.
 MAX_MOVES_PER_ROUND = 8
+# With more members a round has one move for so many of them, as long as any is overloaded.
+MEMBERS_PER_MOVE = 4
+# A member above the first gives up keys in pieces that take their new owners to the second, where
+# keys can be divided so. It also divides ranges that have just moved: the first plans for keys that
+# become hot see a part of their load.
+OVERLOAD_UTILIZATION, TARGET_UTILIZATION = 1.0, 0.7
 # A single key that needs this share of its owner's capacity moves to a server that is faster by
 # this factor, which then gives up the rest of its keys.
 HOT_KEY_UTILIZATION, MIN_SPEEDUP = 0.6, 1.2
@@ -148,7 +155,7 @@
                 return
             donor = max(donors, key=self._load_order)
             desired_rate = self._rate_by_owner[donor] / 2
-            self._move_rate(donor, owner, desired_rate)
+            self._move_rate(donor, owner, desired_rate, desired_rate)
 
     def move_hot_keys(self) -> None:
         """Move each key that fills its server to the fastest server without such a key."""
@@ -176,14 +183,22 @@
     def rebalance_hot_members(self) -> None:
         """Move ranges from the most utilized members to the least utilized ones."""
         exhausted: set[Owner] = set()
-        for _ in range(MAX_MOVES_PER_ROUND):
+        moves_by_donor: Counter[Owner] = Counter()
+        for _ in range(max(MAX_MOVES_PER_ROUND, len(self._members) // MEMBERS_PER_MOVE)):
             donors = [
                 o for o in self._members if o not in self._pinned_owners and o not in exhausted
             ]
             if not donors:
                 return
             donor = max(donors, key=self._utilization)
-            target = min(self._members, key=self._utilization)
+            overloaded = self._utilization(donor) > OVERLOAD_UTILIZATION
+            if len(self.moves) >= MAX_MOVES_PER_ROUND and not overloaded:
+                return
+            target = (
+                max(self._members, key=self._free_rate)
+                if overloaded
+                else min(self._members, key=self._utilization)
+            )
             gap = self._utilization(donor) - self._utilization(target)
             if self._utilization(donor) < HOT_UTILIZATION or gap < MIN_UTILIZATION_GAP:
                 return
@@ -197,21 +212,39 @@
                 self._members[donor].capacity,
                 self._members[target].capacity,
             )
-            desired_rate = (
+            equal_rate = (
                 gap
                 / self._service_time_s
                 * donor_capacity
                 * target_capacity
                 / (donor_capacity + target_capacity)
             )
-            if not self._move_rate(donor, target, desired_rate):
+            desired_rate = equal_rate
+            if overloaded:
+                desired_rate = min(equal_rate, max(MIN_MOVED_RATE_PER_S, self._free_rate(target)))
+            if not self._move_rate(donor, target, desired_rate, equal_rate):
+                exhausted.add(donor)
+                continue
+            moves_by_donor[donor] += 1
+            if moves_by_donor[donor] == MAX_MOVES_PER_ROUND:
                 exhausted.add(donor)
 
-    def _move_rate(self, donor: Owner, target: Owner, desired_rate: float) -> bool:
+    def _move_rate(
+        self, donor: Owner, target: Owner, desired_rate: float, equal_rate: float
+    ) -> bool:
+        """Move the range that comes closest to a rate, and to no more than the equal one."""
         best: tuple[float, int, int] | None = None
-        for assignment in self._movable_ranges(donor):
+        settling = self._utilization(donor) > OVERLOAD_UTILIZATION
+        for assignment in self._movable_ranges(donor, settling):
             for first, last, rate in self._candidate_ranges(assignment):
-                if desired_rate > 0 and not MIN_MOVED_RATE_PER_S <= rate <= 1.2 * desired_rate:
+                if (
+                    settling
+                    and self._recently_moved.overlaps(first, last)
+                    and (first == assignment.first and last == assignment.last)
+                ):
+                    # A range that has moved is divided, but does not move on as a whole.
+                    continue
+                if desired_rate > 0 and not MIN_MOVED_RATE_PER_S <= rate <= 1.2 * equal_rate:
                     continue
                 score = (
                     abs(rate - desired_rate) / max(desired_rate, 1e-9) + (last - first) / KEY_COUNT
@@ -267,13 +300,14 @@
     def _index(self, assignment: Assignment) -> None:
         self._ranges_by_owner.setdefault(assignment.owner, {})[assignment.first] = assignment
 
-    def _movable_ranges(self, owner: Owner) -> list[Assignment]:
+    def _movable_ranges(self, owner: Owner, settling: bool = False) -> list[Assignment]:
+        """Return the ranges of an owner that may move; those that have moved, if `settling`."""
         # A range that moves in this round does not move again.
         return [
             assignment
             for first, assignment in sorted(self._ranges_by_owner.get(owner, {}).items())
             if first not in self._moved_firsts
-            and not self._recently_moved.overlaps(first, assignment.last)
+            and (settling or not self._recently_moved.overlaps(first, assignment.last))
         ]
 
     def _rate_in(self, first: int, last: int) -> float:
@@ -282,5 +316,10 @@
     def _utilization(self, owner: Owner) -> float:
         return self._rate_by_owner[owner] * self._service_time_s / self._members[owner].capacity
 
+    def _free_rate(self, owner: Owner) -> float:
+        """Return the requests per second that take a member to `TARGET_UTILIZATION`."""
+        capacity = self._members[owner].capacity
+        return TARGET_UTILIZATION * capacity / self._service_time_s - self._rate_by_owner[owner]
+
     def _load_order(self, owner: Owner) -> tuple[float, int]:
         return (round(self._utilization(owner), 3), self._key_count_by_owner[owner])
