Give each release of keys a connection of its own

GrantClient used the connection of an earlier release again, so that a late second copy of its response ended the next release, and the range was granted while its old owner still worked on it.

Grants still share a connection: a copy there is a wrong acceptance or refusal of a grant, after which the owner refuses requests or gets a new fence; nobody takes its keys for free.

Before: test_late_copy_of_a_response_does_not_end_the_next_release fails; after: passes. Cost: one new connection a move, beside those that moves at the same time opened before.

--- a/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
@@ -51,7 +51,11 @@
 
 
 class GrantClient:
-    """Calls to one incarnation of a server. Grants share a connection, releases use others."""
+    """Calls to one incarnation of a server.
+
+    Grants share a connection. Each release has its own: responses to calls name no request, so a
+    second copy of one that arrives late would be taken for the next, and the keys for free.
+    """
 
     def __init__(
         self,
@@ -67,8 +71,6 @@
         self._reachability = reachability
         self._clock = clock
         self._connection: ClientConnection | None = None
-        # Idle connection of an earlier release.
-        self._release_connection: ClientConnection | None = None
         # The highest fencing token sent, and the highest one sent on earlier connections. An
         # earlier incarnation may have received that one, so this connection needs higher ones.
         self._highest_fence = 0
@@ -119,9 +121,7 @@
         head, body = self._protocol.release(
             first, last, fence, self.owner.backend_id, self.owner.peer
         )
-        connection, self._release_connection = self._release_connection, None
-        if connection is None or not connection.usable:
-            connection = await self._connect("release")
+        connection = await self._connect("release")
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 exchange = connection.start(head, len(body))
@@ -141,10 +141,7 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
-        if exchange.reusable and self._release_connection is None:
-            self._release_connection = connection
-        else:
-            connection.close()
+        connection.close()
         if response.status != 200:
             raise GrantCallError("release", self.owner.peer, f"status {response.status}", sent=True)
         return Released(self._protocol.handover(response))
@@ -159,11 +156,8 @@
             return True
 
     def abort(self) -> None:
-        """Abort the connections, so that a grant in transit is lost."""
+        """Abort the connection, so that a grant in transit is lost."""
         self._abort_grants()
-        if self._release_connection is not None:
-            self._release_connection.abort()
-            self._release_connection = None
 
     def _abort_grants(self) -> None:
         if self._connection is not None:
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -22,6 +22,7 @@
 from builders import backend, session
 
 TTL = timedelta(seconds=2)
+EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
 class FakeProtocol(BackendProtocol):
@@ -111,3 +112,37 @@
     assert granting_session.directory.by_id["i-1"].draining
     client.abort()
     server.close()
+
+
+# Guards against keys that are granted again while their old owner works on them: a second copy of
+# the response to one release came late and was taken for the response to the next.
+async def test_late_copy_of_a_response_does_not_end_the_next_release() -> None:
+    calls = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal calls
+        while await reader.readuntil(b"\r\n\r\n"):
+            calls += 1
+            if calls == 1:
+                writer.write(EMPTY_RESPONSE)
+                continue
+            # The copy arrives while the second release waits for the work of the owner.
+            writer.write(EMPTY_RESPONSE if len(connections) == 1 else b"")
+            await asyncio.sleep(0.2)
+            finished.set()
+            writer.write(EMPTY_RESPONSE)
+
+    def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Any:
+        connections.append(writer)
+        return serve(reader, writer)
+
+    connections: list[asyncio.StreamWriter] = []
+    finished = asyncio.Event()
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    owner = Owner("i-1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
+    client = grant_client(owner, session())
+    await client.release(0, 9, 5)
+    await client.release(10, 19, 6)
+    assert finished.is_set()
+    client.abort()
+    server.close()
