Serve clients that were accepted just before a planned stop

Before: both cases of test_a_stopping_daemon_serves_clients_that_it_has_just_accepted fail (the connection ends without a response); after: they pass.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -47,6 +47,9 @@
 UNREADY_LISTEN_S = 2.4
 # Part of the stop grace period that is reserved for closing.
 CLOSE_RESERVE_S = 0.5
+# Time after the last connection was accepted in which its client sends its request: a round trip,
+# and the retransmission of a lost packet.
+FIRST_REQUEST_WAIT_S = 0.25
 # Part of CLOSE_RESERVE_S for the last call to the store, which may be unavailable; the process
 # needs the rest to exit.
 LEAVE_RESERVE_S = 0.25
@@ -197,6 +200,7 @@
         await asyncio.sleep(UNREADY_LISTEN_S)
         for server in self._servers:
             server.close()
+        await asyncio.sleep(FIRST_REQUEST_WAIT_S)
         idle_s = stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s
         frontends = (self._frontend, self._relay_frontend)
         for frontend in frontends:
