Keep the sums of load reports up to date instead of adding all reports up anew

Seen in a trial without network: a hub of a fleet of 195 (some 450 reports a second, eight of them sums over 330 servers) spends 0.24 of a core of this machine on adding up. Cause: each report summed all reports of all sources again.

Change: a report replaces its source's part of the sums. Sources that are silent are dropped each 0.1 s by Maintenance, as before; between two rounds their counts now stay until the next, which was up to the next report before.

A random sequence of 2,000 reports, expiries and discards gives the sums of what is left (test_totals_are_the_sum_of_the_reports_that_are_left; it passes on the old code too); 114 tests of balance, load reporter and maintenance pass.

--- a/libs/balance/src/fuchsiawell/balance/in_flight.py
+++ b/libs/balance/src/fuchsiawell/balance/in_flight.py
@@ -71,30 +71,31 @@
 
     def discard_report(self, source: str) -> None:
         """Discard the report of a source whose counts now arrive in another report."""
-        if self._report_by_source.pop(source, None) is not None:
-            self._update_totals(
-                max((at_s for at_s, _ in self._report_by_source.values()), default=0.0)
-            )
+        _, counts = self._report_by_source.pop(source, (0.0, {}))
+        for key, count in counts.items():
+            remaining = self._others_by_short_id[key] - count
+            if remaining > 0:
+                self._others_by_short_id[key] = remaining
+            else:
+                del self._others_by_short_id[key]
 
     def apply_report(self, source: str, counts: Mapping[int, int], now_s: float) -> None:
         """Replace the last report of `source`: one daemon, or a sum over several."""
-        self._report_by_source[source] = (now_s, counts)
-        self._update_totals(now_s)
+        self.discard_report(source)
+        # Without counts of 0, so that each count of a report has its part in the sum.
+        present = {key: count for key, count in counts.items() if count}
+        self._report_by_source[source] = (now_s, present)
+        _add_counts(self._others_by_short_id, present)
 
     def expire(self, now_s: float) -> None:
         """Drop reports older than `REPORT_TTL_S`."""
-        if any(now_s - at_s > REPORT_TTL_S for at_s, _ in self._report_by_source.values()):
-            self._update_totals(now_s)
-
-    def _update_totals(self, now_s: float) -> None:
-        self._report_by_source = {
-            source: (at_s, counts)
-            for source, (at_s, counts) in self._report_by_source.items()
-            if now_s - at_s <= REPORT_TTL_S
-        }
-        self._others_by_short_id = {}
-        for _, counts in self._report_by_source.values():
-            _add_counts(self._others_by_short_id, counts)
+        expired = [
+            source
+            for source, (at_s, _) in self._report_by_source.items()
+            if now_s - at_s > REPORT_TTL_S
+        ]
+        for source in expired:
+            self.discard_report(source)
 
 
 def _add_counts(total: dict[int, int], counts: Mapping[int, int]) -> None:
