Log unreadable messages of other daemons once a second at most

Change: one line a second with the number since the last one, and a counter by peer.

Before: test_many_unreadable_messages_are_counted_in_a_line_a_second would count 3,000 lines (the old code writes one a message; not run on it); after: 3 lines, passes.

--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -33,6 +33,8 @@
 __all__ = ["PeerMessenger"]
 
 KEY_REPORT_INTERVAL_S = 0.3
+# Messages that cannot be decoded are logged at most once in this time.
+UNREADABLE_LOG_INTERVAL_S = 1.0
 
 
 class PeerMessenger(asyncio.DatagramProtocol):
@@ -41,6 +43,8 @@
     def __init__(self, session: Session) -> None:
         self._session = session
         self._transport: asyncio.DatagramTransport | None = None
+        # Since the last line about such messages: when it was written, and messages left out.
+        self._unreadable_logged_s, self._unreadable_count = float("-inf"), 0
         self.on_terms: Callable[[str, dict[str, int]], None] | None = None
         self.on_key_report: Callable[[KeyCountReport], None] | None = None
         self.on_load_report: (
@@ -69,9 +73,7 @@
         try:
             sender, lamport_time, message = decode_message(data)
         except ValueError as error:
-            self._session.log.warning(
-                "peer message unreadable, dropped", peer=addr[0], reason=str(error)
-            )
+            self._log_unreadable(addr[0], error)
             return
         self._session.lamport.merge(lamport_time)
         self._session.record_peer_contact(sender)
@@ -134,6 +136,21 @@
             is not None
         }
 
+    def _log_unreadable(self, peer: str, error: ValueError) -> None:
+        """Log a message that cannot be decoded; daemons of another release may send many."""
+        session = self._session
+        session.metrics.count("peer_messages_unreadable", peer)
+        self._unreadable_count += 1
+        if session.now_s < self._unreadable_logged_s + UNREADABLE_LOG_INTERVAL_S:
+            return
+        session.log.warning(
+            "peer message unreadable, dropped",
+            peer=peer,
+            reason=str(error),
+            count=self._unreadable_count,
+        )
+        self._unreadable_logged_s, self._unreadable_count = session.now_s, 0
+
     def _encode(self, message: Message) -> bytes:
         session = self._session
         return encode_message(session.settings.daemon, session.lamport.tick(), message)
--- a/libs/gateway/tests/test_peer_messages.py
+++ b/libs/gateway/tests/test_peer_messages.py
@@ -8,7 +8,7 @@
 import msgpack
 import pytest
 
-from fuchsiawell.core import LamportClock
+from fuchsiawell.core import LamportClock, ManualClock
 from fuchsiawell.gateway.control.hubs import HubSelector
 from fuchsiawell.gateway.control.load_reporter import LoadReporter
 from fuchsiawell.gateway.control.peer_messages import (
@@ -92,6 +92,20 @@
     assert len(log_events(receiver, "peer message unreadable, dropped")) == 1
 
 
+# Guards against a log without bound while daemons of another release send rows of another length.
+def test_many_unreadable_messages_are_counted_in_a_line_a_second() -> None:
+    clock = ManualClock(1000.0)
+    receiver = session(clock)
+    messenger = PeerMessenger(receiver)
+    for _ in range(3000):
+        messenger.datagram_received(b"junk", ("10.0.0.2", 1))
+        clock.advance(0.001)
+    lines = log_events(receiver, "peer message unreadable, dropped")
+    assert len(lines) == 3
+    assert [line["count"] for line in lines] == pytest.approx([1, 1000, 1000], abs=2)
+    assert receiver.metrics.total("peer_messages_unreadable") == 3000
+
+
 @pytest.mark.parametrize("rate_per_s", [-1.0, float("nan"), float("inf"), "2", True])
 def test_rate_limit_that_is_no_number_of_requests_is_malformed(rate_per_s: object) -> None:
     data = msgpack.packb(["d-1", 9, "s", "i-1", "i-1/5", rate_per_s, 20])
