--- /dev/null
+++ b/review/sitekit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: store, backend servers, clients and a small deployment."""
