review: after a cut of a zone keys get a second holder

Cause: a granter waits for the end of the grants of the last granter alone; with a planned stop of that one it forgets the granter in the zone that is cut off, which still renews its grants. Stand-ins: connections are reset by a reset, owners with one id are told apart, ports are drawn at random.

--- a/review/sitekit/net.py
+++ b/review/sitekit/net.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import random
 import socket
+import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -113,6 +115,11 @@
             await asyncio.sleep(0.02)
 
     def abort(self) -> None:
+        """Reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
 
@@ -155,8 +162,10 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free loopback ports, one after the other."""
-    for first in range(21000, 60000, 17):
+    """Return free loopback ports, one after the other, below those that systems give out."""
+    blocks = list(range(12000, 32000, count))
+    random.shuffle(blocks)
+    for first in blocks:
         sockets = []
         try:
             for port in range(first, first + count):
--- a/review/sitekit/owners.py
+++ b/review/sitekit/owners.py
@@ -39,10 +39,10 @@
         runs_by_backend[run.backend].append(run)
     for first, end in pairwise(edges):
         keys = f"keys {first}-{end - 1}"
-        spans = {b.id: _spans(b, first) for b in backends}
+        spans = [_spans(backend, first) for backend in backends]
         for number, one in enumerate(backends):
-            for other in backends[number + 1 :]:
-                for begin_s, end_s in _overlaps(spans[one.id], spans[other.id]):
+            for place, other in enumerate(backends[number + 1 :], number + 1):
+                for begin_s, end_s in _overlaps(spans[number], spans[place]):
                     where = f"{keys} at {one.id} and {other.id}"
                     when = f"from {begin_s - started_s:.3f} s for {end_s - begin_s:.3f} s"
                     if end_s - begin_s > HELD_TOGETHER_S:
