Show that one lost call to the store makes a follower late

What the tests show: a follower that has lost its hub relies on a single call. If that gets no response, it waits for 1.3 to 1.5 s after the call before it makes the next one. With bounds of 2.0 s, where it leaves its hub after 1.2 s at the latest, a configuration is in force after 2.62 s.

--- a/libs/gateway/tests/store_site.py
+++ b/libs/gateway/tests/store_site.py
@@ -38,7 +38,8 @@
     """A daemon's link to the store.
 
     While `silent`, nothing passes, and calls fail late. After `break_connection`, the open
-    connection no longer carries anything, but new ones do.
+    connection no longer carries anything, but new ones do. The next `calls_to_lose` calls get no
+    response.
     """
 
     def __init__(self, store: MemoryStore, clock: Clock) -> None:
@@ -46,6 +47,8 @@
         self._clock = clock
         self._last_used_s = float("-inf")
         self.silent = False
+        # So many of the next calls get no response.
+        self.calls_to_lose = 0
         self._broken = self._connected = False
         # Calls by kind, those that failed too; a listing counts once for each of its pages.
         self.calls: Counter[str] = Counter()
@@ -91,7 +94,8 @@
         try:
             if not self._connected:
                 await self._connect(step)
-            lost = self.silent
+            lost = self.silent or self.calls_to_lose > 0
+            self.calls_to_lose = max(0, self.calls_to_lose - 1)
             async with asyncio.timeout(timeout_s):
                 result = await call()
                 if lost or self.silent or self._broken:
--- a/libs/gateway/tests/test_store_freshness.py
+++ b/libs/gateway/tests/test_store_freshness.py
@@ -7,6 +7,8 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
+from itertools import product
 from typing import TYPE_CHECKING
 
 import pytest
@@ -113,6 +115,33 @@
     run_site(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize(
+    "fault", [_lose_store_link, _suspend_watcher, _cut_from_follower, _delay_and_lose_store_link]
+)
+# Guards against a follower that has lost its hub and waits for more than a second after a single
+# call to the store that got no response (issue 50; a configuration was in force after 2.6 s).
+def test_one_lost_call_to_the_store_does_not_make_a_follower_late(
+    fault: Callable[[StoreSite, SiteDaemon], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ages_s: list[float] = []
+
+    async def scenario(site: StoreSite, other_hub: str | None, change_delay_s: float) -> None:
+        hub = site.add("hub")
+        await asyncio.sleep(0.5)
+        if other_hub is not None:
+            site.add(other_hub, ["hub", None])
+        follower = site.add("follower", ["hub", other_hub])
+        await asyncio.sleep(5.0)
+        follower.link.calls_to_lose = 1
+        fault(site, hub)
+        await asyncio.sleep(change_delay_s)
+        ages_s.append(await site.age_of_change(follower, 2))
+
+    for other_hub, change_delay_s in product([None, "second"], CHANGE_DELAYS_S):
+        run_site(monkeypatch, partial(scenario, other_hub=other_hub, change_delay_s=change_delay_s))
+    assert max(ages_s) <= SHORTEST_BOUND_S
+
+
 @pytest.mark.parametrize("change_delay_s", CHANGE_DELAYS_S)
 # Guards against a chain: the second hub follows the first, which has lost the store, and confirms
 # to its own followers what it does not know itself.
