Send no attempt of a request over a connection on which it was refused

Cause: after a rejection the forwarder sends the request again to the owner of its key, under the same id, and the pool returns the connection that has just been released. A server that writes the rejection once more, where the next response is expected, then answers the second attempt with the first rejection: the id tells requests apart, not the attempts of one request. The same holds for every response that another attempt may follow (421, 429, 503 without proof, 5xx, unsigned successes), and for relayed requests, at the relay's connection to the server.

Ruled out: hops between daemons (both ends are ours, no copies); second attempts (another server, so another connection); responses without an id, which a reused connection does not accept; successes, after which no attempt follows (a repeated hop of an idempotent request gets the same whole answer).

Change: a connection excludes the ids that it was refused or failed for, and the pool leaves it to other requests. At 128 ids it is closed, which bounds memory (hashes of 8 bytes, as clients choose ids of any length). Remembering at the connection, not at the request, covers relayed requests that come back with the same id. Using the connection again but not believing a second rejection was not taken: it would turn true rejections into 502.

The constant for server failures stood in three modules and is now in one.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -14,7 +14,13 @@
     start_sending,
 )
 from fuchsiawell.gateway.execute.connection_pool import CONNECT_TIMEOUT_S
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
+from fuchsiawell.gateway.execute.outcome import (
+    MIN_SERVER_ERROR_STATUS,
+    NotExecuted,
+    Outcome,
+    OutcomeUnknown,
+    Response,
+)
 from fuchsiawell.gateway.execute.response_reading import drain, read_response
 from fuchsiawell.httpio import (
     ClientConnection,
@@ -114,7 +120,11 @@
         try:
             async with asyncio.timeout(deadline_s - started_s):
                 connection = await self._pool.acquire(
-                    target.incarnation_id, target.host, target.port, require_fresh=not idempotent
+                    target.incarnation_id,
+                    target.host,
+                    target.port,
+                    require_fresh=not idempotent,
+                    request_id=request_id,
                 )
         except OSError as error:
             self._record_failure(target)
@@ -213,6 +223,9 @@
         if self._load_tracker is not None:
             self._load_tracker.record_response(target.backend_id, target.incarnation_id, metadata)
         failure = _failure(target, head, metadata)
+        if failure is not None or head.status >= MIN_SERVER_ERROR_STATUS:
+            # Another attempt may follow.
+            connection.exclude(request_id)
         if failure is not None:
             if await drain(exchange):
                 self._return_connection(target, connection, exchange)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
@@ -12,7 +12,7 @@
     from fuchsiawell.core import Clock
     from fuchsiawell.httpio import BufferMeter
 
-__all__ = ["CONNECT_TIMEOUT_S", "ConnectionPool"]
+__all__ = ["CONNECT_TIMEOUT_S", "MAX_EXCLUDED_IDS", "ConnectionPool"]
 
 # Allows for lost packets, which are retransmitted after 0.2 s.
 CONNECT_TIMEOUT_S = 0.7
@@ -26,6 +26,9 @@
 # Idle connections kept to one server by this daemon and by all daemons together: far below the
 # server's connection limit (130 or more), which shrinks while its queue is long.
 MAX_IDLE_PER_SERVER, MAX_IDLE_PER_SERVER_ALL_DAEMONS = 4, 50
+# Request ids that a kept connection excludes at most: bounds memory. At a server that rejects all
+# requests, one connection in so many requests is opened for this.
+MAX_EXCLUDED_IDS = 128
 
 
 class ConnectionPool:
@@ -54,15 +57,19 @@
         port: int,
         require_fresh: bool,
         timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str | None = None,
     ) -> ClientConnection:
         """Return an idle or new connection; raises OSError.
 
-        `require_fresh` excludes connections idle for FRESH_MAX_IDLE_S or longer.
+        `require_fresh` excludes connections idle for FRESH_MAX_IDLE_S or longer. A connection that
+        excludes `request_id` is left to other requests.
         """
         now_s = self._clock.monotonic()
         idle = self._idle.get(incarnation_id, [])
-        while idle:
-            connection = idle.pop()
+        for number in reversed(range(len(idle))):
+            if request_id is not None and idle[number].excludes(request_id):
+                continue
+            connection = idle.pop(number)
             max_idle_s = (
                 connection.idle_timeout_s or DEFAULT_MAX_IDLE_S / IDLE_FRACTION
             ) * IDLE_FRACTION
@@ -82,7 +89,7 @@
         is_full = len(idle) >= self._max_idle_now or (
             self._max_idle is not None and self.idle_count >= self._max_idle
         )
-        if not connection.usable or is_full:
+        if not connection.usable or is_full or connection.excluded_count >= MAX_EXCLUDED_IDS:
             connection.close()
             return
         connection.idle_since_s = self._clock.monotonic()
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -8,7 +8,13 @@
 
 from fuchsiawell.gateway.execute.attempt import AttemptSender
 from fuchsiawell.gateway.execute.client_request import ClientRequest
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
+from fuchsiawell.gateway.execute.outcome import (
+    MIN_SERVER_ERROR_STATUS,
+    NotExecuted,
+    Outcome,
+    OutcomeUnknown,
+    Response,
+)
 from fuchsiawell.gateway.execute.refusal import (
     Refusal,
     bad_gateway,
@@ -39,8 +45,6 @@
 DEFAULT_RETRY_AFTER_S = 0.5
 # Time for a grant to reach the new owner after this daemon has learned of the assignment.
 GRANT_DELIVERY_S = 0.03
-# Responses from this status on are server failures: idempotent requests are retried.
-MIN_SERVER_ERROR_STATUS = 500
 # No retry with less time left than this part of the usual service time: it would be pointless.
 MIN_RETRY_TIME_FRACTION = 0.4
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/outcome.py
@@ -9,7 +9,10 @@
     from fuchsiawell.gateway.execute.remainder import Remainder
     from fuchsiawell.httpio import ResponseHead
 
-__all__ = ["NotExecuted", "Outcome", "OutcomeUnknown", "Response"]
+__all__ = ["MIN_SERVER_ERROR_STATUS", "NotExecuted", "Outcome", "OutcomeUnknown", "Response"]
+
+# Responses from this status on are server failures: idempotent requests get another attempt.
+MIN_SERVER_ERROR_STATUS = 500
 
 
 @dataclass(frozen=True)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/second_attempt.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/second_attempt.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.balance import SecondAttemptDenial
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, OutcomeUnknown, Response
+from fuchsiawell.gateway.execute.outcome import (
+    MIN_SERVER_ERROR_STATUS,
+    NotExecuted,
+    Outcome,
+    OutcomeUnknown,
+    Response,
+)
 from fuchsiawell.gateway.execute.request_timing import RequestTiming
 
 if TYPE_CHECKING:
@@ -22,8 +28,6 @@
 
 # Second attempts use at most this part of the retry budget; the rest is left to failures.
 RETRY_BUDGET_SHARE = 0.5
-# Responses from this status on are server failures, which do not win.
-MIN_SERVER_ERROR_STATUS = 500
 
 
 @dataclass
--- a/libs/gateway/src/fuchsiawell/gateway/execute/traffic_records.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/traffic_records.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.execute.outcome import NotExecuted, Outcome, Response
+from fuchsiawell.gateway.execute.outcome import (
+    MIN_SERVER_ERROR_STATUS,
+    NotExecuted,
+    Outcome,
+    Response,
+)
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.execute.attempt import Attempt
@@ -12,9 +17,6 @@
 
 __all__ = ["TrafficRecords"]
 
-# Responses from this status on are server failures, whose bodies tell nothing of the route's.
-MIN_SERVER_ERROR_STATUS = 500
-
 
 class TrafficRecords:
     """Record the traffic of attempts."""
@@ -37,6 +39,7 @@
                 length = head.content_length
         self._count(attempt, received)
         if head.status < MIN_SERVER_ERROR_STATUS:
+            # The bodies of failures tell nothing of the route's.
             self._session.response_sizes.record(attempt.request.route.name, length)
 
     def _count(self, attempt: Attempt, size_bytes: int) -> None:
--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -53,6 +53,8 @@
         self.exchange_count = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
+        # Hashes, since clients choose ids of any length.
+        self._excluded_ids: set[int] = set()
         self._peer_check: asyncio.TimerHandle | None = None
 
     @property
@@ -61,6 +63,19 @@
         channel = self.channel
         return not channel.at_eof and not channel.closing and channel.unread_bytes == 0
 
+    def exclude(self, request_id: str) -> None:
+        """Let no further request have this id: a second copy of the response may come late."""
+        self._excluded_ids.add(hash(request_id))
+
+    def excludes(self, request_id: str) -> bool:
+        """Return whether a request with this id needs another connection."""
+        return hash(request_id) in self._excluded_ids
+
+    @property
+    def excluded_count(self) -> int:
+        """Return the number of ids that no further request may have."""
+        return len(self._excluded_ids)
+
     def start(self, head: RequestHead, body_length: int | None) -> Exchange:
         """Send a request head; `body_length` None sends the body chunked."""
         self.exchange_count += 1
