Take no late copy for the response to the next grant

Grants share a connection and named no request: a second copy of a 200 passed for the acceptance of the next grant, one of a 409 for its refusal, one for the end of a renewal that was still under way.

What follows for two owners of a key, worked out: - The first grant of a term goes over a new connection, so what ends the wait for a predecessor (the first acceptance) is never a copy. - A 409 that counts as 200: the server has seen a higher fence and does not hold the keys. Nobody else gets them: they are unserved until the next renewal. The reverse: a new fence, a write of the map. - A copy that comes while a renewal is still on its way (a lost packet, a server that stands still): the wait for renewals under way ends, the release overtakes the renewal on its own connection, is answered, the keys go to another server, and the renewal, whose fence the released server still accepts, gives them to the old one as well, for up to 2.55 s. That breaks OWNER. It takes the copy, the delay and a move within the same tenth of a second.

Ways weighed: a connection for each call (102 owners renewed each 0.7 s: 146 new connections a second for one range each; priced, refused). Waiting after each acceptance whether more comes (10 ms and more for each range of a round one after the other, and no help beyond the wait; refused). A response without an id counts as before, so at a server that does not echo ids to grants a copy that comes alone is still believed: open.

Elsewhere: probes of servers and of crashes only connect; what they leave in the pool has carried nothing. Hops, permits and the change feed have our own daemons at both ends. Releases have a connection each. The store is not said to send extra responses; its client is left as it is.

The stand-in server echoes the id of grants and releases.

--- a/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/grant_client.py
@@ -53,8 +53,9 @@
 class GrantClient:
     """Calls to one incarnation of a server.
 
-    Grants share a connection. Each release has its own: responses to calls name no request, so a
-    second copy of one that arrives late would be taken for the next, and the keys for free.
+    Grants share a connection, on which a second copy of a response may come late: their ids tell
+    whose it is. Each release has its own, as a server need not name the id, and a copy would be
+    taken for the response to the next release, and the keys for free.
     """
 
     def __init__(
@@ -75,17 +76,22 @@
         # earlier incarnation may have received that one, so this connection needs higher ones.
         self._highest_fence = 0
         self._highest_stale_fence = 0
+        self._grant_count = 0
         self._lock = asyncio.Lock()
 
     async def grant(self, assignment: Assignment, ttl: timedelta, handover: str | None) -> int:
         """Grant or renew an assignment; return the response status. Raises GrantCallError."""
         grant = KeyGrant(assignment.first, assignment.last, assignment.fence, ttl, handover)
-        head, body = self._protocol.grant(grant, self.owner.backend_id, self.owner.peer)
+        self._grant_count += 1
+        call_id = f"grant-{assignment.fence}-{self._grant_count}"
+        head, body = self._protocol.grant(grant, self.owner.backend_id, self.owner.peer, call_id)
         async with self._lock:
             with self._expected_response():
-                return await self._grant(assignment, head, body)
+                return await self._grant(assignment, head, body, call_id)
 
-    async def _grant(self, assignment: Assignment, head: RequestHead, body: bytes) -> int:
+    async def _grant(
+        self, assignment: Assignment, head: RequestHead, body: bytes, call_id: str
+    ) -> int:
         await self._ensure_connection("grant")
         if assignment.fence <= self._highest_stale_fence:
             raise GrantCallError(
@@ -102,10 +108,14 @@
                 exchange = connection.start(head, len(body))
                 await exchange.send_body_chunk(body)
                 await exchange.finish_body()
-                response = await exchange.read_response_head(lambda _: True)
+                response = await exchange.read_response_head(
+                    lambda r: self._protocol.parse_response(r).request_id in (call_id, None)
+                )
                 self._record_response(connection, response)
                 while await exchange.read_body_chunk() is not None:
                     pass
+            if exchange.followed_by_bytes:
+                raise InvalidResponseError("more than one response to a grant")
             if not exchange.reusable:
                 connection.close()
                 self._connection = None
--- a/libs/gateway/src/fuchsiawell/gateway/ports.py
+++ b/libs/gateway/src/fuchsiawell/gateway/ports.py
@@ -225,8 +225,13 @@
         """Return the fields of a response that the daemon itself generates."""
 
     @abstractmethod
-    def grant(self, grant: KeyGrant, backend_id: str, peer: str) -> tuple[RequestHead, bytes]:
-        """Return the call that grants keys to a server, or renews the grant."""
+    def grant(
+        self, grant: KeyGrant, backend_id: str, peer: str, call_id: str
+    ) -> tuple[RequestHead, bytes]:
+        """Return the call that grants keys to a server, or renews the grant.
+
+        The response may name `call_id` as a response to a request names the request's id.
+        """
 
     @abstractmethod
     def release(
--- a/libs/gateway/tests/test_grant_client.py
+++ b/libs/gateway/tests/test_grant_client.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from contextlib import asynccontextmanager
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
@@ -16,18 +18,24 @@
 from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.ports import BackendProtocol, KeyGrant, ResponseMetadata
-from fuchsiawell.httpio import RequestHead
+from fuchsiawell.httpio import RequestHead, first_value
 from fuchsiawell.shards import Assignment, Owner
 
 from builders import backend, session
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 TTL = timedelta(seconds=2)
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
 class FakeProtocol(BackendProtocol):
-    def grant(self, grant: KeyGrant, backend_id: str, peer: str) -> tuple[RequestHead, bytes]:
-        return RequestHead(b"POST", b"/grant", [(b"host", b"a")]), str(grant.fence).encode()
+    def grant(
+        self, grant: KeyGrant, backend_id: str, peer: str, call_id: str
+    ) -> tuple[RequestHead, bytes]:
+        fields = [(b"host", b"a"), (b"id", call_id.encode())]
+        return RequestHead(b"POST", b"/grant", fields), str(grant.fence).encode()
 
     def release(self, first: int, last: int, fence: int, backend_id: str, peer: str):
         return RequestHead(b"POST", b"/release", [(b"host", b"a")]), b""
@@ -42,8 +50,13 @@
         raise NotImplementedError
 
     def parse_response(self, head):
+        call_id = first_value(head.fields, b"id")
         return ResponseMetadata(
-            None, False, False, False, leaving=(b"leaving", b"1") in head.fields
+            call_id.decode() if call_id else None,
+            False,
+            False,
+            False,
+            leaving=(b"leaving", b"1") in head.fields,
         )
 
     def refusal_fields(self, request_id, retry_after):
@@ -146,3 +159,85 @@
     assert finished.is_set()
     client.abort()
     server.close()
+
+
+def response(status: int, call_id: bytes | None) -> bytes:
+    named = b"" if call_id is None else b"id: " + call_id + b"\r\n"
+    return b"HTTP/1.1 %d x\r\n%scontent-length: 0\r\n\r\n" % (status, named)
+
+
+class CopyingOwner:
+    """An owner of keys that writes each response once more, before the next one."""
+
+    def __init__(self, statuses: list[int], names_calls: bool) -> None:
+        self._statuses = statuses
+        self._names_calls = names_calls
+        # The response to a call waits for it, its copy does not.
+        self.may_respond = asyncio.Event()
+        self._connections: list[asyncio.StreamWriter] = []
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[GrantClient]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        owner = Owner("i-1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
+        client = grant_client(owner, session())
+        try:
+            yield client
+        finally:
+            client.abort()
+            server.close()
+            for writer in self._connections:
+                writer.close()
+                with contextlib.suppress(ConnectionError):
+                    await writer.wait_closed()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections.append(writer)
+        copy = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(1)
+                fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:-2])
+                writer.write(copy)
+                if copy:
+                    await self.may_respond.wait()
+                copy = response(self._statuses.pop(0), fields[b"id"] if self._names_calls else None)
+                writer.write(copy)
+
+
+# Guards against a grant that counts as accepted though its owner has refused it, and the reverse: a
+# second copy of the response to the grant before came late.
+@pytest.mark.parametrize(("first", "second"), [(200, 409), (409, 200)])
+async def test_late_copy_of_a_response_is_not_the_response_to_the_next_grant(
+    first: int, second: int
+) -> None:
+    server = CopyingOwner([first, second], names_calls=True)
+    server.may_respond.set()
+    async with server.running() as client:
+        owner = client.owner
+        assert await client.grant(Assignment(0, 9, 5, owner), TTL, None) == first
+        assert await client.grant(Assignment(10, 19, 6, owner), TTL, None) == second
+
+
+# Guards against keys that are released and granted to another server while a renewal is still under
+# way to their owner: the renewal counted as ended.
+async def test_late_copy_of_a_response_does_not_end_the_next_grant() -> None:
+    server = CopyingOwner([200, 200], names_calls=True)
+    async with server.running() as client:
+        await client.grant(Assignment(0, 9, 5, client.owner), TTL, None)
+        grant = asyncio.create_task(client.grant(Assignment(0, 9, 5, client.owner), TTL, None))
+        ended, _ = await asyncio.wait([grant], timeout=0.1)
+        assert not ended
+        server.may_respond.set()
+        assert await grant == 200
+
+
+# The same at an owner that names no call in its responses: the grant may still take effect.
+async def test_two_responses_to_one_grant_leave_its_outcome_open() -> None:
+    server = CopyingOwner([200, 409], names_calls=False)
+    server.may_respond.set()
+    async with server.running() as client:
+        await client.grant(Assignment(0, 9, 5, client.owner), TTL, None)
+        with pytest.raises(GrantCallError) as caught:
+            await client.grant(Assignment(10, 19, 6, client.owner), TTL, None)
+        assert caught.value.sent
--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -224,6 +224,11 @@
                 return None
             raise InvalidResponseError("connection closed inside the response body")
 
+    @property
+    def followed_by_bytes(self) -> bool:
+        """Whether more than the response has been received."""
+        return bool(self._reader.trailing_data[0]) or self._channel.unread_bytes > 0
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can be used for another request after this exchange."""
