Refuse shard maps and daemon entries whose fields cannot be ones

Seen with whole daemons in virtual time (4 daemons, 71 odd entries; trial script): a map whose owner is a list of lists was taken, and the maintenance loop of each daemon ended with "unhashable type" again and again; after eight times the daemon stops. A map under the key of another service replaced the service's own (term 2^64 - 1: no later map was newer). A text as term was taken, and the next map could not be compared with it. An entry of d-0 under the key of another daemon replaced d-0's address.

Cause: decode_map checked the format version and the first key only, neither it nor decode_peer knew the key.

Change: each field of a map has its type and range, the ranges cover all keys in order, terms and fences leave room within 64 bits. The key must name the service or the daemon. Names of daemons, hosts and zones have at most 253 characters. A later format version has an error of its own.

--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -10,8 +10,8 @@
     GRANTER_KEY,
     SHARDS_PREFIX,
     decode_peer,
+    decode_stored_map,
 )
-from fuchsiawell.shards import decode_map
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -146,12 +146,13 @@
         if item.value is None:
             return False
         try:
-            return self._session.apply_shard_map(decode_map(item.value), "store")
+            shard_map = decode_stored_map(item.key, item.value)
         except ValueError as error:
             self._session.log.warning(
                 "shard map unreadable, ignored", key=item.key, reason=str(error)
             )
             return False
+        return self._session.apply_shard_map(shard_map, "store")
 
     def _apply_daemon(self, item: Item) -> None:
         name = item.key.removeprefix(DAEMONS_PREFIX)
@@ -159,7 +160,7 @@
             self._session.mark_peer_expired(name)
             return
         try:
-            peer = decode_peer(item.value)
+            peer = decode_peer(item.key, item.value)
         except ValueError as error:
             self._session.log.warning(
                 "daemon entry unreadable, ignored", key=item.key, reason=str(error)
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
@@ -1,12 +1,17 @@
-"""This product's keys in the platform's store, and the form of daemon entries."""
+"""This product's keys in the platform's store, and the form of what is stored there."""
 
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 import msgpack
 
 from fuchsiawell.gateway.session.state import Peer
+from fuchsiawell.shards import decode_map
+
+if TYPE_CHECKING:
+    from fuchsiawell.shards import ShardMap
 
 __all__ = [
     "DAEMONS_PREFIX",
@@ -14,6 +19,7 @@
     "OWN_PREFIX",
     "SHARDS_PREFIX",
     "decode_peer",
+    "decode_stored_map",
     "encode_peer",
 ]
 
@@ -26,6 +32,16 @@
 HOST = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|[0-9A-Fa-f]*:[0-9A-Fa-f:.]*")
 MAX_PORT = 65535
 MAX_CAPACITY_CORES = 1e6
+# Names of hosts are no longer either.
+MAX_NAME_CHARACTERS = 253
+
+
+def decode_stored_map(key: str, value: bytes) -> ShardMap:
+    """Return the map that is stored under a key; raises ValueError, also for another service's."""
+    shard_map = decode_map(value)
+    if key != SHARDS_PREFIX + shard_map.service:
+        raise ValueError("shard map of another service")
+    return shard_map
 
 
 def encode_peer(peer: Peer) -> bytes:
@@ -33,15 +49,19 @@
     return bytes(msgpack.packb(row))
 
 
-def decode_peer(value: bytes) -> Peer:
-    """Return the daemon that an entry describes; raises ValueError."""
+def decode_peer(key: str, value: bytes) -> Peer:
+    """Return the daemon whose entry is stored under a key; raises ValueError."""
     try:
         peer = Peer(*msgpack.unpackb(value))
     except (msgpack.UnpackException, TypeError, ValueError) as error:
         raise ValueError(f"malformed daemon entry: {error}") from error
     texts = (peer.name, peer.start_id, peer.host, peer.zone)
-    if not all(isinstance(text, str) for text in texts) or not HOST.fullmatch(peer.host):
+    if not all(
+        isinstance(text, str) and len(text) <= MAX_NAME_CHARACTERS for text in texts
+    ) or not HOST.fullmatch(peer.host):
         raise ValueError("malformed daemon entry: name, host or zone is unusable")
+    if key != DAEMONS_PREFIX + peer.name:
+        raise ValueError("malformed daemon entry: it is of another daemon")
     if not isinstance(peer.port, int) or not 0 <= peer.port <= MAX_PORT:
         raise ValueError("malformed daemon entry: port is out of range")
     if not isinstance(peer.capacity_cores, (int, float)) or not (
--- a/libs/gateway/tests/test_membership.py
+++ b/libs/gateway/tests/test_membership.py
@@ -39,7 +39,7 @@
     item = await store.get(DAEMONS_PREFIX + "d-1")
     assert item is not None
     assert item.value is not None
-    assert decode_peer(item.value) == session(clock).local_peer
+    assert decode_peer(item.key, item.value) == session(clock).local_peer
     await membership.leave(5.0)
     assert await store.get(DAEMONS_PREFIX + "d-1") is None
 
--- a/libs/gateway/tests/test_releases.py
+++ b/libs/gateway/tests/test_releases.py
@@ -14,7 +14,7 @@
 
 from fuchsiawell.gateway.control.change_frames import Frame, _decode
 from fuchsiawell.gateway.control.peer_messages import Message, decode_message
-from fuchsiawell.gateway.control.store_keys import decode_peer
+from fuchsiawell.gateway.control.store_keys import DAEMONS_PREFIX, decode_peer
 from fuchsiawell.gateway.execute.relay_messages import RELAY_FIELD, decode_order, decode_reply
 from fuchsiawell.shards import decode_map
 
@@ -62,7 +62,7 @@
         case "relay fields", _:
             return decode_reply([(RELAY_FIELD, data.partition(b": ")[2])])
         case _, "daemon":
-            return decode_peer(data)
+            return decode_peer(DAEMONS_PREFIX + SAMPLES[group][kind].name, data)
         case _:
             return decode_map(data)
 
--- a/libs/gateway/tests/test_store_watcher.py
+++ b/libs/gateway/tests/test_store_watcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgpack
@@ -23,6 +24,7 @@
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
 from fuchsiawell.gateway.ports import Item, StoreChanges
 from fuchsiawell.gateway.session.state import Peer
+from fuchsiawell.shards import Member, Owner, encode_map, initial_map
 from fuchsiawell.standins import MemoryStore
 
 from builders import FakeRecordDecoder, log_events, session
@@ -193,3 +195,23 @@
     assert {event["step"] for event in logged} == {"apply"}
     assert all(event["error"] and event["revision"] for event in logged)
     assert harness.session.metrics.total("entries_not_applied") == len(logged)
+
+
+# Guards against a map or a daemon that is replaced by an entry under the key of another one.
+async def test_entry_under_the_key_of_another_is_ignored() -> None:
+    harness = Harness()
+    sound = Peer("d-2", "x", "10.0.0.2", 9000)
+    shard_map = initial_map("s", "d-2", [Member(Owner("i-1", 1, "10.0.0.1", 80), 1.0)])
+    harness.store.put(DAEMONS_PREFIX + "d-2", encode_peer(sound))
+    harness.store.put(SHARDS_PREFIX + "s", encode_map(shard_map))
+    odd = {
+        DAEMONS_PREFIX + "d-3": encode_peer(replace(sound, host="10.0.0.3")),
+        DAEMONS_PREFIX + "d-4": encode_peer(replace(sound, name="d-4", zone="z" * 300)),
+        SHARDS_PREFIX + "t": encode_map(replace(shard_map, term=9)),
+    }
+    for key, value in odd.items():
+        harness.store.put(key, value)
+    harness.store.put("servers/i-1", b"good")
+    await harness.run_until(lambda: "i-1" in harness.session.directory.by_id)
+    assert harness.session.peers_by_name == {"d-2": sound}
+    assert harness.session.shard_maps == {"s": shard_map}
--- a/libs/shards/src/fuchsiawell/shards/__init__.py
+++ b/libs/shards/src/fuchsiawell/shards/__init__.py
@@ -10,6 +10,7 @@
 from fuchsiawell.shards.shard_map import (
     KEY_COUNT,
     Assignment,
+    MapVersionError,
     Owner,
     ShardMap,
     decode_map,
@@ -25,6 +26,7 @@
     "KeyRates",
     "KeyWork",
     "LatencyFactors",
+    "MapVersionError",
     "Member",
     "Move",
     "Owner",
--- a/libs/shards/src/fuchsiawell/shards/shard_map.py
+++ b/libs/shards/src/fuchsiawell/shards/shard_map.py
@@ -12,12 +12,28 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["KEY_COUNT", "Assignment", "Owner", "ShardMap", "decode_map", "encode_map"]
+__all__ = [
+    "KEY_COUNT",
+    "Assignment",
+    "MapVersionError",
+    "Owner",
+    "ShardMap",
+    "decode_map",
+    "encode_map",
+]
 
 # Keys run from 0 to 65535.
 KEY_COUNT = 65536
 # Written with each map, so that a later version can recognise an older format.
 FORMAT_VERSION = 1
+# Terms and fencing tokens rise from those of a map, and must stay within 64 bits.
+MAX_COUNTER = 2**62
+MAX_INCARNATION = 2**63 - 1
+MAX_PORT = 65535
+
+
+class MapVersionError(ValueError):
+    """The map was written by a later release, in a format of its own."""
 
 
 @dataclass(frozen=True)
@@ -182,19 +198,69 @@
 
 
 def decode_map(data: bytes) -> ShardMap:
-    """Decode a map from the store; raise ValueError for other data."""
+    """Decode a map from the store; raise MapVersionError, or ValueError for other data."""
     try:
-        format_version, service, granter, term, next_fence, rows, ranges = msgpack.unpackb(data)
-        owners = [Owner(*row) for row in rows]
-        ends = [range_row[0] - 1 for range_row in ranges[1:]] + [KEY_COUNT - 1]
-        assignments = tuple(
-            Assignment(first, end, fence, owners[number] if number >= 0 else None)
-            for (first, fence, number), end in zip(ranges, ends, strict=True)
-        )
-    except (msgpack.UnpackException, TypeError, ValueError, IndexError) as error:
-        raise ValueError(f"not a shard map: {error}") from error
-    if format_version != FORMAT_VERSION or not assignments or assignments[0].first != 0:
-        raise ValueError(
-            f"shard map incomplete or of version {format_version}, not {FORMAT_VERSION}"
-        )
-    return ShardMap(service, granter, term, next_fence, assignments)
+        row = msgpack.unpackb(data)
+    except (msgpack.UnpackException, TypeError, ValueError) as error:
+        raise ValueError(f"not a shard map: {type(error).__name__}") from error
+    match row:
+        case [int(version), *_] if version > FORMAT_VERSION:
+            raise MapVersionError(f"shard map of version {version}, not {FORMAT_VERSION}")
+        case [
+            int(version),
+            str(service),
+            str(granter),
+            term,
+            next_fence,
+            list(owner_rows),
+            list(range_rows),
+        ] if (
+            version == FORMAT_VERSION
+        ):
+            owners = [_decode_owner(owner_row) for owner_row in owner_rows]
+            return ShardMap(
+                service,
+                granter,
+                _decode_number(term, MAX_COUNTER),
+                _decode_number(next_fence, MAX_COUNTER),
+                _decode_assignments(range_rows, owners),
+            )
+    raise ValueError("not a shard map: fields are missing or of another type")
+
+
+def _decode_owner(row: object) -> Owner:
+    match row:
+        case [str(backend_id), incarnation, str(host), port]:
+            return Owner(
+                backend_id,
+                _decode_number(incarnation, MAX_INCARNATION),
+                host,
+                _decode_number(port, MAX_PORT),
+            )
+    raise ValueError("not a shard map: an owner is malformed")
+
+
+def _decode_assignments(rows: list[object], owners: list[Owner]) -> tuple[Assignment, ...]:
+    """Return the assignments; raises ValueError if they do not cover all keys in order."""
+    assignments: list[Assignment] = []
+    last = KEY_COUNT - 1
+    for row in reversed(rows):
+        match row:
+            case [first, fence, -1]:
+                owner = None
+            case [first, fence, number]:
+                owner = owners[_decode_number(number, len(owners) - 1)]
+            case _:
+                raise ValueError("not a shard map: a range is malformed")
+        first = _decode_number(first, last)
+        assignments.append(Assignment(first, last, _decode_number(fence, MAX_COUNTER), owner))
+        last = first - 1
+    if last != -1:
+        raise ValueError("not a shard map: its ranges do not cover all keys")
+    return tuple(reversed(assignments))
+
+
+def _decode_number(value: object, maximum: int) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= maximum:
+        raise ValueError("not a shard map: a number is of another type or out of range")
+    return value
--- a/libs/shards/tests/test_shard_map.py
+++ b/libs/shards/tests/test_shard_map.py
@@ -3,6 +3,7 @@
 from itertools import pairwise
 from random import Random
 
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 from fuchsiawell.shards import (
     KEY_COUNT,
     Assignment,
+    MapVersionError,
     Owner,
     ShardMap,
     decode_map,
@@ -76,6 +78,53 @@
         decode_map(data)
 
 
+OWNER_ROW = ["i-1", 1, "10.0.0.1", 80]
+RANGE = [0, 1, 0]
+ODD_MAPS: dict[str, list[object]] = {
+    "text as term": [1, "s", "d", "x", 5, [OWNER_ROW], [RANGE]],
+    "term that is no number": [1, "s", "d", float("nan"), 5, [OWNER_ROW], [RANGE]],
+    "term beyond 63 bits": [1, "s", "d", 2**64 - 1, 5, [OWNER_ROW], [RANGE]],
+    "infinite fence": [1, "s", "d", 1, float("inf"), [OWNER_ROW], [RANGE]],
+    "truth values": [1, "s", "d", True, True, [OWNER_ROW], [[False, True, 0]]],
+    "list as service": [1, ["s"], "d", 1, 5, [OWNER_ROW], [RANGE]],
+    "owner of lists": [1, "s", "d", 1, 5, [[[], [], [], []]], [RANGE]],
+    "owner of four letters": [1, "s", "d", 1, 5, ["four"], [RANGE]],
+    "owner with a port out of range": [1, "s", "d", 1, 5, [["i-1", 1, "h", 65536]], [RANGE]],
+    "owner that is not there": [1, "s", "d", 1, 5, [OWNER_ROW], [[0, 1, 1]]],
+    "no range": [1, "s", "d", 1, 5, [OWNER_ROW], []],
+    "range of two fields": [1, "s", "d", 1, 5, [OWNER_ROW], [[0, 1]]],
+    "ranges out of order": [1, "s", "d", 1, 5, [OWNER_ROW], [RANGE, [9, 2, 0], [5, 3, 0]]],
+    "range twice": [1, "s", "d", 1, 5, [OWNER_ROW], [RANGE, [9, 2, 0], [9, 3, 0]]],
+    "first keys missing": [1, "s", "d", 1, 5, [OWNER_ROW], [[1, 1, 0]]],
+    "key out of range": [1, "s", "d", 1, 5, [OWNER_ROW], [RANGE, [65536, 2, 0]]],
+    "version that is no number": [None, "s", "d", 1, 5, [OWNER_ROW], [RANGE]],
+    "long text as version": ["v" * 100_000, "s", "d", 1, 5, [OWNER_ROW], [RANGE]],
+}
+
+
+# Guards against a map of another writer that is taken as the latest one: the next map was not
+# comparable with it, and a list as an owner ended a control loop of each daemon again and again.
+@pytest.mark.parametrize("row", ODD_MAPS.values(), ids=ODD_MAPS.keys())
+def test_decode_refuses_maps_with_odd_fields(row: list[object]) -> None:
+    with pytest.raises(ValueError, match="shard map") as caught:
+        decode_map(msgpack.packb(row))
+    assert len(str(caught.value)) < 200
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\x91" * 100_000, b"\x81\xa1a" * 50_000, b"\xa4\xff\xfe\xfd\xfc", b"\xdd\xff\xff\xff\xff"],
+)
+def test_decode_refuses_odd_bytes(data: bytes) -> None:
+    with pytest.raises(ValueError, match="shard map"):
+        decode_map(data)
+
+
+def test_map_of_a_later_version_is_told_from_other_data() -> None:
+    with pytest.raises(MapVersionError):
+        decode_map(msgpack.packb([2, {"service": "s"}]))
+
+
 def fence_and_owner_by_key(shard_map: ShardMap) -> dict[int, tuple[int, Owner | None]]:
     return {
         key: (assignment.fence, assignment.owner)
