Grant the other services while one stored map cannot be read

What users expect: a clear line, nothing lost, the rest granted. Owners and fences stand in no other place, so a service whose map is unreadable cannot be granted safely: the map that a daemon remembers may be older than what was granted since. Not taken: starting it anew once all earlier grants have ended (15 s after the election), with fences from the wall clock, over the odd value; it would also write over a map that someone is about to restore.

Change: the granter reads the map again each second, logs it once a revision, and goes on with the other services. For a map of a later format version it steps down as before, so that a daemon of that release is elected (docs/UPGRADES.md). A granter that stood still and finds an unreadable map counts as superseded.

--- a/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
+from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX, decode_stored_map
 from fuchsiawell.gateway.ports import ConflictError, StoreUnavailableError, Write
-from fuchsiawell.shards import decode_map, encode_map
+from fuchsiawell.shards import MapVersionError, encode_map
 
 if TYPE_CHECKING:
     from fuchsiawell.core import EventLog
@@ -19,6 +19,8 @@
 
 # Delay before a failed call to the store is repeated.
 RETRY_DELAY_S = 0.2
+# Interval between reads of a map that cannot be read, which someone has to mend.
+UNREADABLE_RETRY_S = 1.0
 
 
 class GrantingLostError(Exception):
@@ -35,10 +37,31 @@
         self._revision = 0
 
     async def read(self) -> ShardMap | None:
-        """Return the stored map, None if absent; raises StoreUnavailableError, ValueError."""
-        item = await self._store.get(self._key)
-        self._revision = item.revision if item is not None else 0
-        return None if item is None or item.value is None else decode_map(item.value)
+        """Return the stored map once it can be read, None if absent; raises StoreUnavailableError.
+
+        Owners and fencing tokens are in none but the stored map, so nothing is granted without it.
+        Raises MapVersionError if a daemon of a later release can read it.
+        """
+        logged_revision = 0
+        while True:
+            item = await self._store.get(self._key)
+            self._revision = item.revision if item is not None else 0
+            if item is None or item.value is None:
+                return None
+            try:
+                return decode_stored_map(self._key, item.value)
+            except MapVersionError:
+                raise
+            except ValueError as error:
+                if self._revision != logged_revision:
+                    self._log.warning(
+                        "stored shard map unreadable, its service is not granted",
+                        key=self._key,
+                        revision=self._revision,
+                        reason=str(error),
+                    )
+                logged_revision = self._revision
+            await asyncio.sleep(UNREADABLE_RETRY_S)
 
     async def compare_and_swap(self, new_map: ShardMap) -> bool:
         """Write a map once; return whether the stored revision matched."""
@@ -74,7 +97,13 @@
     async def confirm(self, term: int) -> None:
         """Return once the store confirms that `term` is current; raises GrantingLostError."""
         item = await self._get_item()
-        if item is None or item.value is None or decode_map(item.value).term != term:
+        if item is None or item.value is None:
+            raise GrantingLostError
+        try:
+            stored_map = decode_stored_map(self._key, item.value)
+        except ValueError as error:
+            raise GrantingLostError from error
+        if stored_map.term != term:
             raise GrantingLostError
 
     async def record_end(self, last_map: ShardMap) -> None:
--- a/libs/gateway/tests/test_granter.py
+++ b/libs/gateway/tests/test_granter.py
@@ -5,15 +5,20 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, cast
 
+import msgpack
 import pytest
+from move_site import MoveSite, run_moves
 
+from fuchsiawell.core import ManualClock
 from fuchsiawell.gateway.control.granter import Granter
 from fuchsiawell.gateway.control.leaving_tracker import LeavingTracker
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.control.server_reach import ServerReach
-from fuchsiawell.gateway.control.store_keys import GRANTER_KEY
+from fuchsiawell.gateway.control.shard_map_record import GrantingLostError, ShardMapRecord
+from fuchsiawell.gateway.control.store_keys import GRANTER_KEY, SHARDS_PREFIX
 from fuchsiawell.gateway.execute.connection_pool import ConnectionPool
 from fuchsiawell.gateway.ports import StoreUnavailableError
+from fuchsiawell.shards import Member, Owner, encode_map, initial_map
 from fuchsiawell.standins import MemoryStore, VirtualClock, run_in_virtual_time
 
 from builders import configuration, log_events, session
@@ -127,3 +132,65 @@
         task.cancel()
 
     run_in_virtual_time(run())
+
+
+# Guards against a granter that steps down and is elected again for as long as the stored map of one
+# service cannot be read, so that no service is granted.
+def test_stored_map_that_cannot_be_read_does_not_end_the_granting_of_other_services() -> None:
+    async def run() -> None:
+        clock = VirtualClock()
+        local_session = session(cast("Any", clock))
+        store = MemoryStore(clock)
+        store.put(SHARDS_PREFIX + "s", b"\x91" * 1000)
+        task = asyncio.create_task(granter_of(local_session, store).run())
+        await asyncio.sleep(20.0)
+        assert len(log_events(local_session, "granter elected")) == 1
+        (line,) = log_events(
+            local_session, "stored shard map unreadable, its service is not granted"
+        )
+        assert line["key"] == SHARDS_PREFIX + "s"
+        task.cancel()
+
+    run_in_virtual_time(run())
+
+
+# Guards against a daemon that stays granter without granting, where one of a later release could.
+def test_granter_steps_down_for_a_map_of_a_later_version() -> None:
+    async def run() -> None:
+        clock = VirtualClock()
+        local_session = session(cast("Any", clock))
+        store = MemoryStore(clock)
+        store.put(SHARDS_PREFIX + "s", msgpack.packb([2, {"service": "s"}]))
+        task = asyncio.create_task(granter_of(local_session, store).run())
+        await asyncio.sleep(20.0)
+        assert len(log_events(local_session, "granting ended")) > 1
+        task.cancel()
+
+    run_in_virtual_time(run())
+
+
+# Guards against a service that stays without a granter once its stored map can be read again.
+def test_service_is_granted_once_its_stored_map_can_be_read() -> None:
+    async def scenario(site: MoveSite) -> None:
+        sound = encode_map(initial_map("s", "", [Member(Owner("i-0", 1, "127.0.0.1", 80), 1.0)]))
+        for number, value in enumerate((b"junk", sound.replace(b"\xa1s", b"\xa1t"))):
+            if number:
+                await site.stop()
+            site.store.put(SHARDS_PREFIX + "s", value)
+            starting = asyncio.create_task(site.start())
+            await asyncio.sleep(5.0)
+            assert not starting.done()
+            site.store.put(SHARDS_PREFIX + "s", sound)
+            await starting
+            assert site.owner_id(0) == "i-0"
+        assert len(log_events(site.session, "granting")) == 2
+
+    run_moves(scenario, servers=1)
+
+
+async def test_granter_whose_stored_map_cannot_be_read_is_not_confirmed() -> None:
+    clock = ManualClock(1000.0)
+    store = MemoryStore(clock)
+    store.put(SHARDS_PREFIX + "s", b"junk")
+    with pytest.raises(GrantingLostError):
+        await ShardMapRecord("s", store, session(clock).log).confirm(1)
