Shorten the fields of log lines that are long

An entry with a name of 900,000 characters wrote lines of that length at each daemon ("backend joined", "shard map unreadable", "daemon entry ..."; seen with whole daemons in virtual time), and the text of an error quotes what could not be read.

Of a line of more than 16,384 characters each field shows its first 512, and how many there were. Bounding at each call was not taken: errors of many kinds quote their input.

--- a/libs/core/src/fuchsiawell/core/logs.py
+++ b/libs/core/src/fuchsiawell/core/logs.py
@@ -14,6 +14,9 @@
 __all__ = ["EventLog", "JsonLinesFormatter", "open_event_log"]
 
 LOGGER_NAME = "fuchsiawell"
+# Of the fields of a longer line only the first characters are written.
+MAX_LINE_CHARACTERS = 16_384
+MAX_FIELD_CHARACTERS = 512
 
 
 class JsonLinesFormatter(logging.Formatter):
@@ -25,7 +28,10 @@
         line = {"level": record.levelname.lower(), "event": record.getMessage(), **fields}
         if record.exc_info:
             line["error"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str, separators=(",", ":"))
+        text = _encode(line)
+        if len(text) > MAX_LINE_CHARACTERS:
+            text = _encode({name: _shorten(value) for name, value in line.items()})
+        return text
 
 
 class EventLog:
@@ -77,3 +83,17 @@
     logger.propagate = False
     logger.setLevel(level)
     return EventLog(logger, process, clock, lamport)
+
+
+def _encode(line: dict[str, Any]) -> str:
+    return json.dumps(line, default=str, separators=(",", ":"))
+
+
+def _shorten(value: object) -> object:
+    """Return the start of a field whose encoding is long."""
+    if isinstance(value, int | float | None):
+        return value
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    if len(text) <= MAX_FIELD_CHARACTERS:
+        return value
+    return f"{text[:MAX_FIELD_CHARACTERS]}... ({len(text)} characters)"
