Void what was learned in an earlier era of the store

Cause: nothing read `Store-Era`. Revisions that the store gave out again were compared with those of before: changes were dropped as old, hubs and followers could mix two eras, conditional writes could match another value. Leases were renewed by ids that may be another daemon's. The granter's next term took owners, term and fences from the older record alone.

In a new era a daemon lists anew and forgets all revisions; the newest configuration stays in force until the store has it or a later one; servers that the copy lacks have the time that they have after an outage. Followers name the era in a frame of their own; a hub in another era is a gap. Entries of daemons are written again, spread over up to 3 s. The granter ends its term, elects itself again (also over its own stale key) and begins a term from the newest map that it or any daemon in touch knows (map requests and replies). Terms and fences of an era are above its number times 2^32, so none is given out twice; grants of granters that the record has lost are waited out (12 s, only before keys of servers that have not accepted a newer fence go elsewhere). Writes of the map are guarded by the key of the election, under the granter's lease: the first write in a new era, before the daemon knows of it, fails by it.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -102,6 +102,8 @@
             session, store, protocol, self._peers, leaving_tracker, self._server_reach
         )
         self._server_reach.on_change = self._granter.on_reach_change
+        self._store = store
+        store.on_new_era = self._on_new_era
         self._store_watcher.on_granter_update = self._granter.wake_election
         # Whoever takes a zone back tells nobody how cold its servers are.
         self._store_watcher.evacuations.on_zone_taken_back = partial(mark_zone_cold, session)
@@ -297,6 +299,7 @@
             "peers": len(session.peers_by_name),
             "configuration_version": session.configuration.version if session.configuration else 0,
             "connections_opened": self._pool.opened,
+            "store_era": self._store.era or 0,
             "store_age_ms": round(session.store_age_s * 1000),
             "servers_unreachable": 1 if session.reachability.cut_off else 0,
             "evacuated_zones": len(session.evacuated_zones),
@@ -309,6 +312,11 @@
         }
         return 200, session.metrics.render({**gauges, **session.class_rooms.gauges()})
 
+    def _on_new_era(self, _last_era: int, _era: int) -> None:
+        """Begin again what depends on leases: the store came back from an older copy."""
+        self._membership.on_new_era()
+        self._granter.on_new_era()
+
     def _log_state(self) -> None:
         self._session.log.event("daemon state", state=self.state)
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_feed.py
@@ -9,6 +9,7 @@
 from fuchsiawell.gateway.control.change_frames import (
     Confirmation,
     Follow,
+    FollowInEra,
     FrameReader,
     KeepAlive,
     Poll,
@@ -57,18 +58,22 @@
         self._own_name = name
         self._clock = clock
         self._hub: Peer | None = None
+        self._era: int | None = None
         self._channel: Channel | None = None
         self._reader: FrameReader | None = None
         self._next_poll_s = float("-inf")
 
-    async def next(self, hub: Peer, after: int, until_s: float) -> FeedUpdate:
+    async def next(
+        self, hub: Peer, after: int, until_s: float, era: int | None = None
+    ) -> FeedUpdate:
         """Return changes after revision `after` or a confirmation, or neither after a short wait.
 
-        Raises FeedLostError, at the monotonic time `until_s` if the hub sends nothing until then.
+        `after` is a revision of the store's `era`. Raises FeedLostError, at the monotonic time
+        `until_s` if the hub sends nothing until then.
         """
         try:
-            if self._reader is None or hub != self._hub:
-                await self._connect(hub, after, until_s)
+            if self._reader is None or hub != self._hub or era != self._era:
+                await self._connect(hub, after, era, until_s)
             frame = await self._next_frame(until_s)
         except (OSError, ValueError) as error:
             self.close()
@@ -96,14 +101,16 @@
             self._channel.close()
         self._channel = self._reader = self._hub = None
 
-    async def _connect(self, hub: Peer, after: int, until_s: float) -> None:
+    async def _connect(self, hub: Peer, after: int, era: int | None, until_s: float) -> None:
         self.close()
         timeout_s = min(CONNECT_TIMEOUT_S, until_s - self._clock.monotonic())
         if timeout_s <= 0:
             raise TimeoutError(TOO_OLD)
         self._channel = await open_channel(hub.host, hub.port, timeout_s)
-        self._hub, self._reader = hub, FrameReader(self._channel)
-        self._channel.write(encode_frame(Follow(self._own_name, after)))
+        self._hub, self._era, self._reader = hub, era, FrameReader(self._channel)
+        name = self._own_name
+        follow = Follow(name, after) if era is None else FollowInEra(name, after, era)
+        self._channel.write(encode_frame(follow))
         self._next_poll_s = float("-inf")
 
     async def _next_frame(self, until_s: float) -> Frame | None:
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Confirmation",
     "Follow",
+    "FollowInEra",
     "Frame",
     "FrameReader",
     "Gap",
@@ -70,7 +71,19 @@
     """The hub does not have all changes after the requested revision."""
 
 
-Frame = Follow | Poll | Confirmation | KeepAlive | Gap | StoreChanges
+@dataclass(frozen=True)
+class FollowInEra:
+    """As Follow, where the store names its era: `after` is a revision of that era.
+
+    A hub of an earlier release ends the connection.
+    """
+
+    name: str
+    after: int
+    era: int
+
+
+Frame = Follow | FollowInEra | Poll | Confirmation | KeepAlive | Gap | StoreChanges
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -78,6 +91,8 @@
     match frame:
         case Follow(name, after):
             row: list[object] = ["follow", name, after]
+        case FollowInEra(name, after, era):
+            row = ["follow in era", name, after, era]
         case Poll(sent_s):
             row = ["poll", sent_s]
         case Confirmation(polled_s, age_s):
@@ -120,6 +135,8 @@
         match msgpack.unpackb(data):
             case ["follow", str(name), after]:
                 return Follow(name, _number(after))
+            case ["follow in era", str(name), after, era]:
+                return FollowInEra(name, _number(after), _number(era))
             case ["poll", float(sent_s)] if isfinite(sent_s):
                 return Poll(sent_s)
             case ["current", float(polled_s), float(age_s)] if isfinite(polled_s - age_s):
--- a/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_relay.py
@@ -10,6 +10,7 @@
 from fuchsiawell.gateway.control.change_frames import (
     Confirmation,
     Follow,
+    FollowInEra,
     FrameReader,
     Gap,
     KeepAlive,
@@ -41,6 +42,8 @@
 class _Follower:
     name: str
     channel: Channel
+    # Era of the store in which it follows; what it has is of no use in another.
+    era: int | None
     # Set when there is something to send.
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     # The latest poll: when it was sent in the follower's time, and when it arrived in this
@@ -60,6 +63,7 @@
         # All changes after this revision are kept; None while changes may be missed.
         self._complete_after: int | None = None
         self._as_of = 0
+        self._era: int | None = None
         # Monotonic time until which all changes are known.
         self.current_until_s = float("-inf")
         self._followers: list[_Follower] = []
@@ -88,9 +92,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def reset(self, as_of: int) -> None:
-        """Restart after a listing of the store at revision `as_of`."""
+    def reset(self, as_of: int, era: int | None = None) -> None:
+        """Restart after a listing of the store at revision `as_of` of an era."""
         self._batches.clear()
+        self._era = era
         self._complete_after = self._as_of = as_of
         self._notify()
 
@@ -132,10 +137,15 @@
             async with asyncio.timeout(FOLLOWER_TIMEOUT_S):
                 reader = FrameReader(channel)
                 request = await reader.next()
-            if not isinstance(request, Follow):
-                return
-            name = request.name
-            reason = await self._serve_follower(_Follower(name, channel), reader, request.after)
+            match request:
+                case Follow(name, after):
+                    # A daemon of an earlier release, which knows no eras.
+                    follower = _Follower(name, channel, self._era)
+                case FollowInEra(name, after, era):
+                    follower = _Follower(name, channel, era)
+                case _:
+                    return
+            reason = await self._serve_follower(follower, reader, after)
         except (OSError, ValueError) as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -150,7 +160,7 @@
 
         The reason is empty if changes were missing from the start.
         """
-        if not self._is_complete_after(after):
+        if not self._is_complete(follower, after):
             # It does not count as a follower: a watch of the store would be begun anew for it. In
             # an outage followers ask several times a second, which is too much for the log.
             self._session.metrics.count("followers_refused")
@@ -168,7 +178,7 @@
     async def _send_changes(self, follower: _Follower, after: int) -> str:
         while not follower.channel.at_eof:
             follower.wake.clear()
-            if not self._is_complete_after(after):
+            if not self._is_complete(follower, after):
                 await self._send(follower, Gap())
                 return "changes are missing"
             pending = [batch for batch in self._batches if batch.as_of > after]
@@ -192,8 +202,12 @@
                     await self._send(follower, KeepAlive())
         return "connection closed"
 
-    def _is_complete_after(self, after: int) -> bool:
-        return self._complete_after is not None and after >= self._complete_after
+    def _is_complete(self, follower: _Follower, after: int) -> bool:
+        return (
+            follower.era == self._era
+            and self._complete_after is not None
+            and after >= self._complete_after
+        )
 
     async def _read_polls(self, reader: FrameReader, follower: _Follower) -> None:
         """Read polls until the follower leaves or sends anything else."""
--- a/libs/gateway/src/fuchsiawell/gateway/control/granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/granter.py
@@ -9,7 +9,7 @@
 from fuchsiawell.gateway.control.grant_client import GrantClient
 from fuchsiawell.gateway.control.service_granter import ServiceGranter
 from fuchsiawell.gateway.control.shard_map_record import GrantingLostError
-from fuchsiawell.gateway.control.store_keys import GRANTER_KEY
+from fuchsiawell.gateway.control.store_keys import ELECTIONS_PREFIX, GRANTER_KEY
 from fuchsiawell.gateway.ports import ConflictError, LeaseLostError, StoreUnavailableError, Write
 from fuchsiawell.shards import GrantTiming
 
@@ -18,7 +18,7 @@
     from fuchsiawell.gateway.control.peer_messages import KeyCountReport
     from fuchsiawell.gateway.control.peers import PeerMessenger
     from fuchsiawell.gateway.control.server_reach import ServerReach
-    from fuchsiawell.gateway.ports import BackendProtocol, Store
+    from fuchsiawell.gateway.ports import BackendProtocol, Item, Store
     from fuchsiawell.gateway.session.state import Session
 
 __all__ = ["Granter"]
@@ -64,6 +64,9 @@
         self._granter_by_service: dict[str, ServiceGranter] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lease_id: int | None = None
+        # Era of the store that gave the lease, and the revision of the write of the election.
+        self._lease_era: int | None = None
+        self._elected_at = 0
         self._superseded = False
         peers.on_terms = self._on_terms
         peers.on_key_report = self._on_key_report
@@ -82,6 +85,10 @@
         self._reach_changed.set()
         self._granter_updated.set()
 
+    def on_new_era(self) -> None:
+        """Stop granting, or stand for election, at once: the store came back from a copy."""
+        self.on_reach_change()
+
     async def run(self) -> None:
         """Stand for election while there is no granter, grant while elected; until cancelled."""
         while True:
@@ -94,7 +101,7 @@
             self._granter_updated.clear()
             if not self._sharded_services():
                 await asyncio.sleep(ELECTION_JITTER_S)
-            elif self._session.granter is not None:
+            elif self._session.granter is not None and not self._may_stand():
                 try:
                     async with asyncio.timeout(POLL_INTERVAL_S * 4):
                         await self._granter_updated.wait()
@@ -109,6 +116,8 @@
             return
         await self._stop_service_granters()
         await self._record_ends()
+        if self._store.era != self._lease_era:
+            return
         try:
             await self._store.revoke_lease(lease_id)
         except StoreUnavailableError as error:
@@ -126,14 +135,15 @@
         if not self._may_stand():
             return False
         lease_id = await self._store.open_lease(LEASE_TTL)
+        self._lease_era = self._store.era
         try:
             elected = await self._claim_key(lease_id)
         except StoreUnavailableError:
             # A claim that the store carries out late is refused without its lease.
-            await self._store.revoke_lease(lease_id)
+            await self._end_lease(lease_id)
             raise
-        if not elected:
-            await self._store.revoke_lease(lease_id)
+        if not elected or self._store.era != self._lease_era:
+            await self._end_lease(lease_id)
             await asyncio.sleep(POLL_INTERVAL_S)
             return False
         self._lease_id = lease_id
@@ -143,10 +153,11 @@
 
     async def _claim_key(self, lease_id: int) -> bool:
         """Write the granter's key if there is none; return whether this daemon owns it."""
-        write = Write(GRANTER_KEY, self._session.settings.daemon.encode(), lease_id, 0)
         try:
-            await self._store.write([write])
-        except (ConflictError, LeaseLostError):
+            await self._write_claim(lease_id, 0)
+        except ConflictError:
+            return await self._replace_own_claim(lease_id)
+        except LeaseLostError:
             return False
         except StoreUnavailableError as error:
             if not error.maybe_applied:
@@ -155,6 +166,35 @@
             return await self._owns_key(lease_id)
         return True
 
+    async def _write_claim(self, lease_id: int, expected_revision: int) -> None:
+        name = self._session.settings.daemon.encode()
+        self._elected_at = await self._store.write(
+            [
+                Write(GRANTER_KEY, name, lease_id, expected_revision),
+                Write(self._election_key, name, lease_id),
+            ]
+        )
+
+    async def _replace_own_claim(self, lease_id: int) -> bool:
+        """Claim the key again if it is this daemon's, from a copy of the store."""
+        if self._store.era is None:
+            return False
+        item = await self._store.get(GRANTER_KEY)
+        if item is None or not self._is_own(item):
+            return False
+        try:
+            await self._write_claim(lease_id, item.revision)
+        except (ConflictError, LeaseLostError):
+            return False
+        return True
+
+    @property
+    def _election_key(self) -> str:
+        return ELECTIONS_PREFIX + self._session.settings.daemon
+
+    def _is_own(self, item: Item) -> bool:
+        return item.value == self._session.settings.daemon.encode()
+
     async def _owns_key(self, lease_id: int) -> bool:
         """Return whether the granter's key is written under a lease, asking more than once."""
         ask_until_s = self._session.now_s + LEASE_TTL.total_seconds() / 2
@@ -166,11 +206,27 @@
                     raise
                 await asyncio.sleep(CLAIM_RETRY_DELAY_S)
             else:
-                return item is not None and item.lease == lease_id
+                if item is None or item.lease != lease_id or not self._is_own(item):
+                    return False
+                election = await self._store.get(self._election_key)
+                if election is None or election.lease != lease_id:
+                    return False
+                self._elected_at = election.revision
+                return True
 
     def _may_stand(self) -> bool:
         session = self._session
-        return session.granter is None and not session.stopping and bool(self._sharded_services())
+        # A copy of the store may hold the key of an earlier election of this daemon.
+        holds_stale_key = (
+            self._store.era is not None
+            and self._lease_id is None
+            and session.granter == session.settings.daemon
+        )
+        return (
+            (session.granter is None or holds_stale_key)
+            and not session.stopping
+            and bool(self._sharded_services())
+        )
 
     async def _grant_until_superseded(self) -> None:
         """Grant until another daemon takes over, or this one can't go on.
@@ -183,6 +239,10 @@
         self._superseded = False
         try:
             while not self._superseded:
+                if self._store.era != self._lease_era:
+                    session.log.warning("granting stopped", why="the store came back from a copy")
+                    await self._stop_service_granters()
+                    break
                 if self._reaches_no_owner():
                     session.log.warning("granting stopped", why="no server is reached")
                     # No call of these terms may be sent once a successor can be elected.
@@ -209,10 +269,15 @@
             lease_id, self._lease_id = self._lease_id, None
             if session.granter == session.settings.daemon:
                 session.granter = None
-            await self._store.revoke_lease(lease_id)
+            await self._end_lease(lease_id)
             if session.reachability.cut_off:
                 # After the end of the lease: the watches of other daemons pause after a change.
-                await self._record_ends()
+                await self._record_ends(lease_ended=True)
+
+    async def _end_lease(self, lease_id: int) -> None:
+        """End a lease, unless the store has come back from a copy: its id may be another's then."""
+        if self._store.era == self._lease_era:
+            await self._store.revoke_lease(lease_id)
 
     def _reaches_no_owner(self) -> bool:
         """Return whether grants are surely not answered any more.
@@ -238,9 +303,10 @@
         self._cancel_service_granters()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _record_ends(self) -> None:
+    async def _record_ends(self, lease_ended: bool = False) -> None:
         """Record in the store that the terms have ended."""
-        await asyncio.gather(*(granter.stop() for granter in self._granter_by_service.values()))
+        granters = self._granter_by_service.values()
+        await asyncio.gather(*(granter.stop(lease_ended) for granter in granters))
 
     def _election_delay_s(self) -> float:
         """Return the delay before an attempt; hosts with more capacity go first."""
@@ -276,6 +342,7 @@
                     self._session.reachability,
                     self._session.clock,
                 ),
+                ((self._election_key, self._elected_at),),
             )
             self._granter_by_service[service] = service_granter
             task = asyncio.get_running_loop().create_task(service_granter.run())
--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -35,12 +35,33 @@
         self._records = records
         # Revision of each key that was applied last.
         self._revision_by_key: dict[str, int] = {}
+        # While the store may hold an older version than this one, which it has forgotten.
+        self._forgotten_version: int | None = None
+        self._lists_copy = False
         # Where the changes being applied came from, the store or the name of a hub, and the time
         # until then since the last contact.
         self.source, self.unconfirmed_s = STORE_SOURCE, 0.0
         self.evacuations = Evacuations(session, records.evacuations_prefix)
         self.on_granter_update: Callable[[], None] | None = None
 
+    def apply_copy(self, items: Sequence[Item]) -> None:
+        """Apply all items of a store that came back from an older copy.
+
+        The operator and the servers write again what it lacks, so what is missing or older than
+        known does not count at once.
+        """
+        session = self._session
+        self._revision_by_key.clear()
+        if session.configuration is not None:
+            self._forgotten_version = session.configuration.version
+        session.directory.on_store_unavailable(session.now_s)
+        session.directory.on_store_available(session.now_s)
+        self._lists_copy = True
+        try:
+            self.apply_listing(items)
+        finally:
+            self._lists_copy = False
+
     def apply_listing(self, items: Sequence[Item]) -> None:
         """Apply all items of the store, and remove what is not among them."""
         session = self._session
@@ -59,7 +80,8 @@
         evacuations_prefix = self._records.evacuations_prefix
         for item in sorted(items, key=lambda i: i.key.startswith(evacuations_prefix)):
             self.apply(item)
-        self.evacuations.finish_listing(present)
+        if not self._lists_copy:
+            self.evacuations.finish_listing(present)
 
     def apply(self, item: Item) -> bool:
         """Apply an item; return whether it was new to this daemon."""
@@ -114,6 +136,15 @@
                 "configuration unreadable, keeping the current one", reason=str(error)
             )
             return
+        if self._forgotten_version is not None:
+            if configuration.version < self._forgotten_version:
+                session.log.warning(
+                    "older configuration of the store's copy not taken",
+                    version=configuration.version,
+                    in_force=self._forgotten_version,
+                )
+                return
+            self._forgotten_version = None
         session.configuration = configuration
         if configuration.problems:
             session.log.warning(
@@ -140,6 +171,10 @@
         if backend is None:
             self._session.log.warning("server entry unreadable, ignored", server=backend_id)
             return
+        known = self._session.directory.by_id.get(backend_id)
+        if self._lists_copy and known is not None and known.incarnation > backend.incarnation:
+            # The server has started again since the copy was made.
+            return
         self._session.update_backend(backend, self.unconfirmed_s)
 
     def _apply_map(self, item: Item) -> bool:
--- a/libs/gateway/src/fuchsiawell/gateway/control/membership.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 LEASE_TTL = timedelta(seconds=9)
 LEASE_RENEWAL_S = 3.0
 RETRY_DELAY_S = 0.5
+# Registrations of all daemons after the store came back from an older copy; each makes two calls.
+REGISTRATIONS_PER_S = 65.0
 
 
 class Membership:
@@ -29,16 +32,29 @@
         self._session = session
         self._store = store
         self._lease_id: int | None = None
+        # Era of the store that gave the lease.
+        self._lease_era: int | None = None
+        self._era_changed = asyncio.Event()
+
+    def on_new_era(self) -> None:
+        """Write the entry again soon: the store came back from an older copy."""
+        self._era_changed.set()
 
     async def run(self) -> None:
         """Write the entry and renew its lease until cancelled."""
         while True:
             try:
+                if self._lease_id is not None and self._store.era != self._lease_era:
+                    self._lease_id = None
+                    await asyncio.sleep(self._registration_delay_s())
+                self._era_changed.clear()
                 if self._lease_id is None:
                     await self._register()
                 else:
                     await self._store.renew_lease(self._lease_id)
-                await asyncio.sleep(LEASE_RENEWAL_S)
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(LEASE_RENEWAL_S):
+                        await self._era_changed.wait()
             except LeaseLostError:
                 self._session.log.event("daemon entry lapsed")
                 self._lease_id = None
@@ -48,7 +64,8 @@
 
     async def leave(self, timeout_s: float) -> None:
         """Remove the entry before a planned stop; give up after `timeout_s`."""
-        if self._lease_id is None:
+        if self._lease_id is None or self._store.era != self._lease_era:
+            # The id of a lease of an earlier era may be another daemon's by now.
             return
         try:
             async with asyncio.timeout(timeout_s):
@@ -71,7 +88,13 @@
     async def _register(self) -> None:
         settings = self._session.settings
         lease_id = await self._store.open_lease(LEASE_TTL)
+        self._lease_era = self._store.era
         local_peer = self._session.local_peer
         key = DAEMONS_PREFIX + settings.daemon
         await self._store.write([Write(key, encode_peer(local_peer), lease_id)])
         self._lease_id = lease_id
+
+    def _registration_delay_s(self) -> float:
+        """Return a random delay, so that not all daemons call a restored store at once."""
+        longest_s = min(LEASE_RENEWAL_S, self._session.daemon_count / REGISTRATIONS_PER_S)
+        return longest_s * self._session.random.random()
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -15,6 +15,7 @@
     decode_cold_body,
     encode_cold_body,
 )
+from fuchsiawell.gateway.control.map_messages import MapReply, MapRequest
 from fuchsiawell.gateway.control.message_fields import MAX_NUMBER, PermitStatus
 from fuchsiawell.gateway.control.message_fields import decode_number as _number
 from fuchsiawell.gateway.control.message_fields import decode_text as _text
@@ -43,6 +44,8 @@
     "KeyCountReport",
     "LimitMessage",
     "LoadReport",
+    "MapReply",
+    "MapRequest",
     "Message",
     "PermitReply",
     "PermitRequest",
@@ -197,6 +200,8 @@
     | GroupQueuedWorkReport
     | TotalQueuedWorkReport
     | PaceMessage
+    | MapRequest
+    | MapReply
 )
 
 
@@ -249,6 +254,10 @@
             body = ["f", rows]
         case TotalPaceReport(rows):
             body = ["i", rows]
+        case MapRequest(service, min_fence):
+            body = ["n", service, min_fence]
+        case MapReply(service, assignments):
+            body = ["j", service, [_encode_assignment(a) for a in assignments]]
     return bytes(msgpack.packb([sender, lamport_time, *body]))
 
 
@@ -311,6 +320,10 @@
             return GroupPaceReport(decode_pace_rows(rows))
         case "i", [rows]:
             return TotalPaceReport(decode_pace_rows(rows))
+        case "n", [service, min_fence]:
+            return MapRequest(_text(service), _number(min_fence))
+        case "j", [service, list(rows)]:
+            return MapReply(_text(service), [_decode_assignment(*row) for row in rows])
         case _:
             raise ValueError(f"message kind {kind!r} is unknown")
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -20,6 +20,8 @@
     GroupLoadReport,
     KeyCountReport,
     LoadReport,
+    MapReply,
+    MapRequest,
     Message,
     PermitReply,
     PermitRequest,
@@ -45,12 +47,18 @@
     from fuchsiawell.gateway.control.peer_messages import LimitMessage
     from fuchsiawell.gateway.control.queue_messages import QueueReport
     from fuchsiawell.gateway.session.state import Peer, Session
+    from fuchsiawell.shards import Assignment
 
 __all__ = ["PeerMessenger"]
 
 KEY_REPORT_INTERVAL_S = 0.3
 # Messages that cannot be decoded are logged at most once in this time.
 UNREADABLE_LOG_INTERVAL_S = 1.0
+# How often other daemons are asked for newer assignments, as datagrams may be lost, and the wait
+# for the replies after each time.
+MAP_REQUESTS, MAP_REPLY_WAIT_S = 2, 0.1
+# Assignments in one datagram.
+MAX_REPLY_ASSIGNMENTS = 100
 
 
 class PeerMessenger(asyncio.DatagramProtocol):
@@ -61,6 +69,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         # Since the last line about such messages: when it was written, and messages left out.
         self._unreadable_logged_s, self._unreadable_count = float("-inf"), 0
+        # Replies to this daemon's requests for assignments, by service.
+        self._map_replies: dict[str, list[Assignment]] = {}
         self.on_terms: Callable[[str, dict[str, int]], None] | None = None
         self.on_key_report: Callable[[KeyCountReport], None] | None = None
         self.on_load_report: (
@@ -135,6 +145,19 @@
                 elif granter is not None:
                     self.send([granter], report)
 
+    async def request_assignments(self, service: str, min_fence: int) -> list[Assignment]:
+        """Return assignments with fences from `min_fence` on that other daemons in touch know."""
+        if not self._session.peers_by_name:
+            return []
+        replies = self._map_replies[service] = []
+        try:
+            for _ in range(MAP_REQUESTS):
+                self.broadcast(MapRequest(service, min_fence))
+                await asyncio.sleep(MAP_REPLY_WAIT_S)
+        finally:
+            self._map_replies.pop(service, None)
+        return sorted(replies, key=lambda assignment: assignment.fence)
+
     def close(self) -> None:
         """Close the socket; later messages are not sent."""
         if self._transport is not None:
@@ -188,6 +211,11 @@
                 session.block_ranges(service, ranges)
             case ShardMapUpdate():
                 self._apply_map_update(message)
+            case MapRequest(service, min_fence):
+                self._reply_with_assignments(sender, service, min_fence)
+            case MapReply(service, assignments):
+                if service in self._map_replies:
+                    self._map_replies[service] += assignments
             case CrashReport(fingerprint, incarnation_id):
                 session.poison_detector.record_crash(fingerprint, incarnation_id, session.now_s)
             case SuspicionCleared(fingerprint):
@@ -216,6 +244,15 @@
         if terms and self.on_terms is not None:
             self.on_terms(sender, terms)
 
+    def _reply_with_assignments(self, sender: str, service: str, min_fence: int) -> None:
+        peer = self._session.peers_by_name.get(sender)
+        known = self._session.shard_maps.get(service)
+        if peer is None or known is None:
+            return
+        newer = [a for a in known.assignments if a.fence >= min_fence]
+        for start in range(0, len(newer), MAX_REPLY_ASSIGNMENTS):
+            self.send([peer], MapReply(service, newer[start : start + MAX_REPLY_ASSIGNMENTS]))
+
     def _apply_map_update(self, message: ShardMapUpdate) -> None:
         """Apply newer assignments, each of which has a fencing token of its own, in order.
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
@@ -56,10 +56,11 @@
         peers: PeerMessenger,
         timing: GrantTiming,
         open_client: Callable[[Owner], GrantClient],
+        guards: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self.service = service
         self._session = session
-        self._record = ShardMapRecord(service, store, session.log)
+        self._record = ShardMapRecord(service, store, session.log, guards)
         self._peers = peers
         self._timing = timing
         self._open_client = open_client
@@ -92,9 +93,14 @@
         finally:
             self._cancel_calls()
             self._session.granting_terms.pop(self.service, None)
+            if self._map is not None:
+                # What was stored last may not be announced yet, and the store may forget it.
+                self._session.apply_shard_map(self._map, "own term")
 
-    async def stop(self) -> None:
+    async def stop(self, lease_ended: bool = False) -> None:
         """Record in the store that this term has ended cleanly."""
+        if lease_ended:
+            self._record.guards = ()
         if self._map is not None:
             remaining_s = self._releases.expiry.remaining_s_by_granter(self._session.now_s)
             await self._record.record_end(self._map, PastGranters(self._map.term, remaining_s))
@@ -121,7 +127,7 @@
             client.abort()
 
     async def _take_over(self) -> None:
-        start = await take_over(self._session, self._record, self._view, self._timing)
+        start = await take_over(self._session, self._record, self._view, self._peers, self._timing)
         self._releases.start_term(start.renews_until_s)
         new_map = self._map = start.shard_map
         self._session.granting_terms[self.service] = new_map.term
--- a/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
@@ -37,14 +37,25 @@
 
 
 class ShardMapRecord:
-    """Write the map only if the stored revision is the one that was last read or written."""
+    """Write the map only if the stored revision is the one that was last read or written.
 
-    def __init__(self, service: str, store: Store, log: EventLog) -> None:
+    A store that came back from an older copy gives out revisions again, so nothing is written by
+    what was read in an earlier era. `guards` are keys whose revisions show that the granter's lease
+    has not ended; the first write in a new era, of which this daemon does not know yet, fails by
+    them.
+    """
+
+    def __init__(
+        self, service: str, store: Store, log: EventLog, guards: tuple[tuple[str, int], ...] = ()
+    ) -> None:
         self.service = service
+        # Era of the store in which the map was read.
+        self.era: int | None = None
         self._key = SHARDS_PREFIX + service
         self._past_key = PAST_GRANTERS_PREFIX + service
         self._store = store
         self._log = log
+        self.guards = guards
         self._revision = 0
 
     async def read(self) -> ShardMap | None:
@@ -56,6 +67,7 @@
         logged_revision = 0
         while True:
             item = await self._store.get(self._key)
+            self.era = self._store.era
             self._revision = item.revision if item is not None else 0
             if item is None or item.value is None:
                 return None
@@ -91,8 +103,13 @@
             return None
 
     async def compare_and_swap(self, new_map: ShardMap, past: PastGranters | None = None) -> bool:
-        """Write a map once, and the record of granters; return whether the revision matched."""
-        write = Write(self._key, encode_map(new_map), expected_revision=self._revision)
+        """Write a map once, and the record of past granters; return whether the revision matched.
+
+        Raises GrantingLostError if the store has come back from an older copy since.
+        """
+        if self._store.era != self.era:
+            raise GrantingLostError
+        write = Write(self._key, encode_map(new_map), 0, self._revision, self.guards)
         record = [] if past is None else [Write(self._past_key, encode_past_granters(past))]
         try:
             self._revision = await self._store.write([*record, write])
@@ -117,7 +134,7 @@
                 continue
             # An earlier attempt whose response was lost may have been executed.
             item = await self._get_item()
-            if item is None or item.value != encode_map(new_map):
+            if self._store.era != self.era or item is None or item.value != encode_map(new_map):
                 raise GrantingLostError
             self._revision = item.revision
             return
@@ -138,6 +155,8 @@
         """Record that this term ended cleanly, so that the next granter need not wait for it."""
         try:
             await self.compare_and_swap(replace(last_map, granter=""), past)
+        except GrantingLostError:
+            self._log.event("end of granting not stored", why="the store was replaced by a copy")
         except StoreUnavailableError as error:
             self._log.warning(
                 "end of granting not stored, the next granter waits",
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "DAEMONS_PREFIX",
+    "ELECTIONS_PREFIX",
     "GRANTER_KEY",
     "OWN_PREFIX",
     "PAST_GRANTERS_PREFIX",
@@ -29,6 +30,9 @@
 SHARDS_PREFIX = OWN_PREFIX + "shards/"
 # Granters of earlier terms that may still renew grants, by service.
 PAST_GRANTERS_PREFIX = OWN_PREFIX + "past-granters/"
+# Written by each daemon at its election, under the granter's lease: its revision shows that the
+# lease has not ended.
+ELECTIONS_PREFIX = OWN_PREFIX + "elections/"
 # Its value is the name of the elected granter; written under the granter's lease.
 GRANTER_KEY = OWN_PREFIX + "granter"
 # Addresses that a socket accepts: it fails for good on others.
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -54,6 +54,9 @@
         self._store = store
         self._items = ItemApplier(session, records)
         self._as_of: int | None = None
+        # Era of the store in which `_as_of` is a revision, and the last such pair.
+        self._era: int | None = None
+        self._last_listed: tuple[int, int] | None = None
         # Monotonic time of the end of the last watch.
         self._watched_s = float("-inf")
         self._store_unavailable = False
@@ -85,6 +88,8 @@
         while True:
             started_s = session.now_s
             try:
+                if self._as_of is not None and self._store.era != self._era:
+                    raise HistoryLostError
                 if self._as_of is None:
                     await self._list()
                 source = self._source
@@ -96,6 +101,8 @@
                 retry_delay_s = MIN_RETRY_DELAY_S
             except HistoryLostError:
                 session.log.event("store history lost", step="watch", as_of=self._as_of)
+                if self._as_of is not None and self._era is not None:
+                    self._last_listed = self._era, self._as_of
                 self._as_of = None
                 if self._relay is not None:
                     self._relay.on_store_lost()
@@ -118,12 +125,16 @@
         started_s = self._session.now_s
         listing = await self._store.list("")
         self._on_store_contact(started_s)
-        self._items.apply_listing(listing.items)
-        self._as_of = listing.as_of
+        self._era, self._as_of = self._store.era, listing.as_of
+        if self._last_listed is not None and self._last_listed[0] != self._era:
+            self._log_new_era(*self._last_listed)
+            self._items.apply_copy(listing.items)
+        else:
+            self._items.apply_listing(listing.items)
         if self._source is not None:
             self._source.on_listing()
         if self._relay is not None:
-            self._relay.reset(listing.as_of)
+            self._relay.reset(listing.as_of, self._era)
             self._relay.confirm(started_s)
         self._session.log.event("store listed", items=len(listing.items), as_of=listing.as_of)
 
@@ -166,7 +177,8 @@
         session = self._session
         max_age_s = session.settings.max_store_age.total_seconds()
         try:
-            update = await self._feed.next(hub, self._as_of, source.follow_until_s())
+            until_s = source.follow_until_s()
+            update = await self._feed.next(hub, self._as_of, until_s, self._era)
         except FeedLostError as error:
             next_s = source.on_feed_lost(hub, error)
             await asyncio.sleep(max(0.0, next_s - session.now_s))
@@ -182,6 +194,19 @@
             if self._relay is not None:
                 self._relay.confirm(update.current_until_s)
 
+    def _log_new_era(self, last_era: int, last_as_of: int) -> None:
+        """Log and count that the store came back from an older copy."""
+        session = self._session
+        session.metrics.count("store_eras")
+        session.log.warning(
+            "store came back from an older copy",
+            last_era=last_era,
+            era=self._era,
+            last_as_of=last_as_of,
+            as_of=self._as_of,
+            voided=["revisions", "watch", "feed", "leases", "conditional writes"],
+        )
+
     def _apply_changes(self, changes: StoreChanges) -> bool:
         """Apply and publish changes; return whether any was new to this daemon."""
         any_new = any([self._items.apply(item) for item in changes.items])
--- a/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
@@ -1,4 +1,4 @@
-"""Begin a term of granting: owners from the stored map, and who may still grant before it."""
+"""Begin a term of granting: owners from the newest map known, and who may still grant before it."""
 
 from __future__ import annotations
 
@@ -7,21 +7,30 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.shards import (
+    KEY_COUNT,
     UNKNOWN_GRANTER,
+    Assignment,
     PastGranters,
+    ShardMap,
     initial_map,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from fuchsiawell.gateway.control.peers import PeerMessenger
     from fuchsiawell.gateway.control.server_view import ServerView
     from fuchsiawell.gateway.control.shard_map_record import ShardMapRecord
     from fuchsiawell.gateway.session.state import Session
-    from fuchsiawell.shards import GrantTiming, ShardMap
+    from fuchsiawell.shards import GrantTiming
 
-__all__ = ["TermStart", "take_over"]
+__all__ = ["TermStart", "counter_floor", "take_over"]
 
+# Terms and fences of an era of the store lie above its number times this, so that none is given out
+# again when the store forgets the last ones. Fewer than these are given out in an era.
+COUNTERS_PER_ERA = 2**32
+# Terms and fences are stored in 62 bits.
+MAX_ERA = 2**30 - 1
 # Delay before the map is read again after another write of it.
 CONFLICT_DELAY_S = 0.02
 
@@ -34,24 +43,40 @@
     renews_until_s: Mapping[str, float]
 
 
+def counter_floor(era: int | None) -> int:
+    """Return a number that all terms and fences of an era of the store are above."""
+    return 0 if era is None else min(era, MAX_ERA) * COUNTERS_PER_ERA
+
+
 async def take_over(
     session: Session,
     record: ShardMapRecord,
     view: ServerView,
+    peers: PeerMessenger,
     timing: GrantTiming,
 ) -> TermStart:
     """Store the map of the next term; raises GrantingLostError or StoreUnavailableError."""
     own_name = session.settings.daemon
     while True:
         stored, past = await record.read(), await record.read_past_granters()
+        floor = counter_floor(record.era)
+        # The stored map may lack what the store has forgotten.
+        begins_era = record.era is not None and (stored is None or stored.next_fence <= floor)
+        newest = stored
+        if begins_era:
+            newest = await _newest_map(record.service, stored, session, peers)
         now_s = session.now_s
         renews_until_s: dict[str, float] = {}
-        if stored is None:
+        if newest is None:
             members = await view.wait_for_first_members()
             new_map = initial_map(record.service, own_name, members)
+            if floor:
+                new_map = new_map.next_term(own_name, floor)
         else:
-            new_map = stored.next_term(own_name)
+            new_map = newest.next_term(own_name, floor)
             renews_until_s = _renews_until_s(stored, past, own_name, timing, now_s)
+        if begins_era:
+            renews_until_s[UNKNOWN_GRANTER] = now_s + timing.renew_without_store_s
         remaining_s = {
             name: until_s - now_s for name, until_s in renews_until_s.items() if until_s > now_s
         }
@@ -62,7 +87,7 @@
 
 
 def _renews_until_s(
-    stored: ShardMap,
+    stored: ShardMap | None,
     past: PastGranters | None,
     own_name: str,
     timing: GrantTiming,
@@ -77,11 +102,28 @@
             for name, remaining_s in past.remaining_s_by_name.items()
             if name != own_name
         }
-    longest_s = now_s + timing.renew_without_store_s
-    if stored.granter not in ("", own_name):
-        until_s[stored.granter] = longest_s
-    recorded_term = 0 if past is None else past.term
-    if recorded_term < stored.term - 1:
-        # Daemons of an earlier release, which write no record, have granted in between.
-        until_s[UNKNOWN_GRANTER] = longest_s
+    if stored is not None:
+        longest_s = now_s + timing.renew_without_store_s
+        if stored.granter not in ("", own_name):
+            until_s[stored.granter] = longest_s
+        recorded_term = 0 if past is None else past.term
+        if recorded_term < stored.term - 1:
+            # Daemons of an earlier release, which write no record, have granted in between.
+            until_s[UNKNOWN_GRANTER] = longest_s
     return until_s
+
+
+async def _newest_map(
+    service: str, stored: ShardMap | None, session: Session, peers: PeerMessenger
+) -> ShardMap | None:
+    """Return the stored map with all newer assignments that a daemon in touch knows."""
+    known = session.shard_maps.get(service)
+    maps = [shard_map for shard_map in (stored, known) if shard_map is not None]
+    newest = max(maps, key=lambda m: (m.term, m.next_fence), default=None)
+    newer = await peers.request_assignments(service, 0 if newest is None else newest.next_fence)
+    if newest is None:
+        if not newer:
+            return None
+        nobody = Assignment(0, KEY_COUNT - 1, 0, None)
+        newest = ShardMap(service, "", 0, 1, (nobody,))
+    return newest.merge_newer(newer)
--- a/libs/gateway/tests/message_samples.py
+++ b/libs/gateway/tests/message_samples.py
@@ -57,9 +57,12 @@
     "paces": paces.PaceReport({7: (150, 3)}),
     "group paces": paces.GroupPaceReport({7: (150, 12)}),
     "total paces": paces.TotalPaceReport({7: (150, 40)}),
+    "map request": messages.MapRequest("s", 8),
+    "map reply": messages.MapReply("s", list(ASSIGNMENTS)),
 }
 FRAMES: dict[str, frames.Frame] = {
     "follow": frames.Follow("d-1", 12),
+    "follow in era": frames.FollowInEra("d-1", 12, 2),
     "poll": frames.Poll(1.5),
     "confirmation": frames.Confirmation(1.5, 0.25),
     "keep-alive": frames.KeepAlive(),
--- a/libs/gateway/tests/store_site.py
+++ b/libs/gateway/tests/store_site.py
@@ -10,7 +10,13 @@
 from fuchsiawell.gateway.control.change_relay import ChangeRelay
 from fuchsiawell.gateway.control.hubs import UPSTREAM_RETRY_S
 from fuchsiawell.gateway.control.store_watcher import StoreWatcher
-from fuchsiawell.gateway.ports import Store, StoreChanges, StoreUnavailableError, Write
+from fuchsiawell.gateway.ports import (
+    HistoryLostError,
+    Store,
+    StoreChanges,
+    StoreUnavailableError,
+    Write,
+)
 from fuchsiawell.gateway.session.state import Peer
 from fuchsiawell.standins import MemoryNetwork, MemoryStore, VirtualClock, run_in_virtual_time
 
@@ -97,9 +103,13 @@
             lost = self.silent or self.calls_to_lose > 0
             self.calls_to_lose = max(0, self.calls_to_lose - 1)
             async with asyncio.timeout(timeout_s):
+                era = self.era
                 result = await call()
                 if lost or self.silent or self._broken:
                     await asyncio.Event().wait()
+                self.observe_era(step, "store", self._store.era)
+                if step == "watch" and era is not None and self.era != era:
+                    raise HistoryLostError
                 return result
         except TimeoutError as error:
             self._broken = self._connected = False
--- a/libs/gateway/tests/test_change_feed.py
+++ b/libs/gateway/tests/test_change_feed.py
@@ -355,3 +355,31 @@
     harness.store.put(GRANTER_KEY, b"d-1")
     await harness.run_until(lambda: harness.store.watches > 0)
     assert harness.hubs.failovers == 0
+
+
+# Guards against a hub in another era than its follower, for which all revisions look well.
+async def test_hub_in_another_era_is_a_gap(hub: Hub) -> None:
+    hub.relay.reset(5, 1)
+    hub.relay.publish(_changes(6))
+    feed = _feed()
+    assert (await feed.next(hub.peer, 5, LATER_S, 1)).changes == _changes(6)
+    hub.relay.reset(5, 2)
+    hub.relay.publish(_changes(6))
+    hub.relay.publish(_changes(7))
+    for _ in range(2):
+        with pytest.raises(FeedLostError, match="changes are missing"):
+            await feed.next(hub.peer, 6, LATER_S, 1)
+    assert (await feed.next(hub.peer, 6, LATER_S, 2)).changes == _changes(7)
+
+
+# Guards against a daemon of an earlier release, which follows without an era, that goes on with its
+# hub into the next one.
+async def test_follower_without_an_era_is_served_until_the_next(hub: Hub) -> None:
+    hub.relay.reset(5, 1)
+    hub.relay.publish(_changes(6))
+    feed = _feed()
+    assert (await feed.next(hub.peer, 5, LATER_S)).changes == _changes(6)
+    hub.relay.reset(5, 2)
+    hub.relay.publish(_changes(7))
+    with pytest.raises(FeedLostError, match="changes are missing"):
+        await feed.next(hub.peer, 6, LATER_S)
--- a/libs/gateway/tests/test_releases.py
+++ b/libs/gateway/tests/test_releases.py
@@ -32,6 +32,8 @@
 NEWEST_RELEASE = "0148b53"
 # Kinds that this release writes and the newest one with golden data does not know.
 ADDED_KINDS: dict[str, set[str]] = {
+    "messages": {"map request", "map reply"},
+    "frames": {"follow in era"},
     "records": {"past granters"},
 }
 
--- a/libs/shards/src/fuchsiawell/shards/shard_map.py
+++ b/libs/shards/src/fuchsiawell/shards/shard_map.py
@@ -122,10 +122,19 @@
             assignments = _replace_range(assignments, assignment)
         return replace(self, assignments=assignments, next_fence=next_fence)
 
-    def next_term(self, granter: str) -> ShardMap:
+    def merge_newer(self, assignments: Iterable[Assignment]) -> ShardMap:
+        """Return the map with those assignments whose fences are above all that they replace."""
+        merged = self
+        for assignment in assignments:
+            next_fence = max(merged.next_fence, assignment.fence + 1)
+            merged = merged.merge([assignment], next_fence) or merged
+        return merged
+
+    def next_term(self, granter: str, floor: int = 0) -> ShardMap:
         """Return the map of the next term: the same owners, with fences above all earlier ones.
 
-        Adjacent ranges of one owner are joined, as they get a new fence anyway.
+        Term and fences are above `floor` too. Adjacent ranges of one owner are joined, as they get
+        a new fence anyway.
         """
         joined: list[Assignment] = []
         for assignment in self.assignments:
@@ -133,14 +142,14 @@
                 joined[-1] = replace(joined[-1], last=assignment.last)
             else:
                 joined.append(assignment)
-        fence = self.next_fence
+        fence = max(self.next_fence, floor + 1)
         assignments = tuple(
             replace(assignment, fence=fence + index) for index, assignment in enumerate(joined)
         )
         return replace(
             self,
             granter=granter,
-            term=self.term + 1,
+            term=max(self.term, floor) + 1,
             assignments=assignments,
             next_fence=fence + len(assignments),
         )
