Send no request to a server that a planned stop would cut

Cause: nothing asked, when a request was taken, read or placed after the stop had begun, whether it could end by then; and after the requests in flight had been ended, the next ones on their connections were still passed on.

Change: a stop sets the time at which it ends what is in flight. A request whose deadline is later is sent to a server only with a second, or four times its usual service time, left; otherwise it gets a 503 at once. That is asked when it has been read, when its body has arrived and when it has its place; a queued one counts with that end. What may have been executed before is not called unexecuted.

--- a/libs/gateway/src/fuchsiawell/gateway/application.py
+++ b/libs/gateway/src/fuchsiawell/gateway/application.py
@@ -219,13 +219,14 @@
         session = self._session
         session.stopping = True
         stop_by_s = session.now_s + session.settings.stop_grace.total_seconds() - CLOSE_RESERVE_S
+        session.requests_end_s = stop_by_s - FINAL_RESPONSE_TIMEOUT_S
         # The store may be slow, so this must not delay what follows.
         resignation = asyncio.create_task(self._stop_step("stop granting", self._granter.stop()))
         await asyncio.sleep(UNREADY_LISTEN_S)
         for server in self._servers:
             server.close()
         await asyncio.sleep(FIRST_REQUEST_WAIT_S)
-        idle_s = stop_by_s - FINAL_RESPONSE_TIMEOUT_S - session.now_s
+        idle_s = session.requests_end_s - session.now_s
         frontends = (self._frontend, self._relay_frontend)
         for frontend in frontends:
             frontend.close_idle()
--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -19,9 +19,11 @@
     Refusal,
     bad_gateway,
     not_executed,
+    stopping,
     timed_out,
     unknown_route,
 )
+from fuchsiawell.gateway.execute.request_timing import RequestTiming
 from fuchsiawell.gateway.execute.second_attempt import AttemptRace
 from fuchsiawell.gateway.session.key_counting import count_key
 from fuchsiawell.httpio import first_value
@@ -69,6 +71,7 @@
         self._placement = placement
         self._crash_reports = crash_reports
         self._relaying = relaying
+        self._timing = RequestTiming(session)
 
     def prepare(
         self, head: RequestHead, body: RequestBody, now_s: float, order: RelayOrder | None = None
@@ -162,6 +165,12 @@
                 if request.maybe_executed:
                     return error_response or bad_gateway(target.reason)
                 return target
+            if not self._timing.ends_before_stop(request):
+                # It was queued for too long.
+                self._placement.release(target)
+                if request.maybe_executed:
+                    return error_response or bad_gateway("daemon is stopping")
+                return stopping()
             if request.attempts and not self._acquire_retry(request):
                 self._placement.release(target)
                 return error_response or self._final_refusal(request, outcome)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -8,7 +8,13 @@
 from fuchsiawell.gateway.execute.body import MemoryShortError, RequestBody
 from fuchsiawell.gateway.execute.client_request import ClientRequest
 from fuchsiawell.gateway.execute.held_bytes import HeldBytes
-from fuchsiawell.gateway.execute.refusal import Refusal, bad_gateway, not_executed, timed_out
+from fuchsiawell.gateway.execute.refusal import (
+    Refusal,
+    bad_gateway,
+    not_executed,
+    stopping,
+    timed_out,
+)
 from fuchsiawell.gateway.execute.relay_messages import PRIVATE_FIELDS, without_private_fields
 from fuchsiawell.gateway.execute.request_records import RequestRecords
 from fuchsiawell.gateway.execute.request_timing import MAX_RETRY_AFTER_S, RequestTiming
@@ -40,8 +46,6 @@
 LINGER_LIMITS = LingerLimits(silence_s=2.0, total_s=10.0, max_bytes=DEFAULT_MAX_BODY_BYTES)
 # Time to send the responses to requests that are cancelled by a stop.
 FINAL_RESPONSE_TIMEOUT_S = 0.15
-# Clients whose requests are cancelled by a stop can retry at another daemon at once.
-STOP_RETRY_AFTER_S = 0.05
 # Clients whose requests this daemon failed to send to a server can retry at another daemon.
 INTERNAL_ERROR_RETRY_AFTER_S = 0.25
 # Time a connection stays open beyond the announced idle timeout: a request may be in transit.
@@ -106,6 +110,7 @@
         self._session.log.warning(
             "requests cut by the stop", count=self.in_flight, connections=len(self._tasks)
         )
+        self._session.requests_end_s = self._session.now_s
         for channel in list(self._idle):
             channel.close()
         now_s = asyncio.get_running_loop().time()
@@ -181,8 +186,8 @@
             result = await self._serve_request(connection, request)
             channel.on_disconnect = None
             # The close would drop a further request that has begun to arrive.
-            stopping = session.stopping and not connection.next_request_started
-            close_after = stopping or not connection.body_complete
+            is_last = session.stopping and not connection.next_request_started
+            close_after = is_last or not connection.body_complete
             step = "send"
             await self._send(connection, request, result, close_after)
         except (Exception, asyncio.CancelledError) as error:
@@ -207,11 +212,14 @@
         )
         try:
             body = RequestBody(connection, max_body_bytes, holding)
-            return self._prepare_request(head, body, started_s)
+            request = self._prepare_request(head, body, started_s)
         except Exception as error:
             self._records.internal_error(connection, None, "prepare", error)
             # Nothing has been sent to a server yet.
             return not_executed("internal error", INTERNAL_ERROR_RETRY_AFTER_S)
+        if isinstance(request, ClientRequest) and not self._timing.ends_before_stop(request):
+            return stopping()
+        return request
 
     def _prepare_request(
         self, head: RequestHead, body: RequestBody, started_s: float
@@ -258,6 +266,9 @@
         except MemoryShortError:
             self._held.record_refused()
             return not_executed("memory short", self._timing.retry_after_s(MAX_RETRY_AFTER_S))
+        if not self._timing.ends_before_stop(request):
+            # Its body took too long to arrive.
+            return stopping()
         result = await self._forwarder.serve(request)
         if isinstance(result, Refusal) or result.remainder is None:
             # A slow client may take the response for longer.
@@ -268,7 +279,7 @@
         """Return the refusal for a request that is cancelled by the stop of this daemon."""
         if request.maybe_executed:
             return timed_out("daemon is stopping")
-        return not_executed("daemon is stopping", STOP_RETRY_AFTER_S)
+        return stopping()
 
     def _internal_error(
         self, connection: ServerConnection, request: ClientRequest, error: BaseException
--- a/libs/gateway/src/fuchsiawell/gateway/execute/refusal.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/refusal.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-__all__ = ["Refusal", "bad_gateway", "not_executed", "timed_out", "unknown_route"]
+__all__ = ["Refusal", "bad_gateway", "not_executed", "stopping", "timed_out", "unknown_route"]
+
+# Clients whose requests a stop keeps from being executed can retry at another daemon at once.
+STOP_RETRY_AFTER_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -23,6 +26,11 @@
     return Refusal(503, reason, timedelta(seconds=retry_after_s))
 
 
+def stopping() -> Refusal:
+    """Return the 503 for a request that a stop of this daemon keeps from being executed."""
+    return not_executed("daemon is stopping", STOP_RETRY_AFTER_S)
+
+
 def bad_gateway(reason: str) -> Refusal:
     """Return a 502: it is unknown whether the request was executed."""
     return Refusal(502, reason)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/request_timing.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/request_timing.py
@@ -16,6 +16,9 @@
 MAX_KNOWN_RETRY_AFTER_S = 10.0
 # A request is refused when less than this part of its usual service time is left.
 MIN_TIME_LEFT_FRACTION = 0.9
+# In a stop, a request whose deadline is too late is sent to a server only with this much time left,
+# or with this many times its usual service time, whichever is longer.
+MIN_STOP_TIME_S, STOP_TIME_FACTOR = 1.0, 4.0
 
 
 class RequestTiming:
@@ -27,7 +30,18 @@
     def latest_start_s(self, request: ClientRequest, latency_factor: float = 1.0) -> float:
         """Return the latest start time that leaves enough time before the deadline."""
         work_s = latency_factor * self.service_time_s(request)
-        return request.deadline_s - MIN_TIME_LEFT_FRACTION * work_s
+        end_s = request.deadline_s
+        if self._session.requests_end_s is not None:
+            end_s = min(end_s, self._session.requests_end_s)
+        return end_s - MIN_TIME_LEFT_FRACTION * work_s
+
+    def ends_before_stop(self, request: ClientRequest) -> bool:
+        """Return whether a request that starts now ends before a stop of this daemon ends it."""
+        requests_end_s = self._session.requests_end_s
+        if requests_end_s is None or request.deadline_s <= requests_end_s:
+            return True
+        time_s = max(MIN_STOP_TIME_S, STOP_TIME_FACTOR * self.service_time_s(request))
+        return self._session.now_s + time_s <= requests_end_s
 
     def latest_on_time_start_s(self, request: ClientRequest, latency_factor: float = 1.0) -> float:
         """Return the latest start time that meets the target latency of the route.
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -108,6 +108,8 @@
         # Terms in which this daemon grants the keys of services itself.
         self.granting_terms: dict[str, int] = {}
         self.stopping = False
+        # When a planned stop ends the requests that are still in flight; None before a stop.
+        self.requests_end_s: float | None = None
         # Monotonic time until which this daemon knows all changes of the store, as far as it can
         # tell; its start until it knows any.
         self.current_until_s = clock.monotonic()
