Check a series of granters and an older copy of the store in the model

A second one has up to four terms: a granter in a cut zone, others that are stopped, killed and back, or cut off, and a store that comes back from an older copy once.

--- a/libs/model/src/fuchsiawell/model/catalog.py
+++ b/libs/model/src/fuchsiawell/model/catalog.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.model.granting import FENCES_INCREASE, SINGLE_OWNER, GrantRules, grant_spec
+from fuchsiawell.model.series import NEW_FENCES, ONE_OWNER, SeriesRules, series_spec
 
 if TYPE_CHECKING:
     from fuchsiawell.model.checker import Spec
@@ -23,13 +24,18 @@
 
 
 RULES = GrantRules()
-SPECS: tuple[Spec, ...] = (grant_spec(RULES),)
+SERIES_RULES = SeriesRules()
+SPECS: tuple[Spec, ...] = (grant_spec(RULES), series_spec(SERIES_RULES))
 
 
 def _variant(name: str, rules: GrantRules, property: str = SINGLE_OWNER) -> Variant:
     return Variant(name, grant_spec(rules), property)
 
 
+def _series_variant(name: str, rules: SeriesRules, property: str = ONE_OWNER) -> Variant:
+    return Variant(name, series_spec(rules), property)
+
+
 MUTANTS: tuple[Variant, ...] = (
     _variant("takeover with the old fences", replace(RULES, new_fence_at_takeover=False)),
     _variant("successor does not wait", replace(RULES, waits_for_predecessor=False)),
@@ -45,6 +51,33 @@
     _variant(
         "move without a new fence", replace(RULES, stores_before_granting=False), FENCES_INCREASE
     ),
+    _series_variant(
+        "successor of a killed granter forgets the one before",
+        replace(SERIES_RULES, record_at_takeover=False),
+    ),
+    _series_variant(
+        "stopped granter leaves no word of the one before",
+        replace(SERIES_RULES, record_at_stop=False),
+    ),
+    _series_variant(
+        "report of a granter taken for an earlier one's",
+        replace(SERIES_RULES, report_counts_for_sender=False),
+    ),
+    _series_variant(
+        "later term reported while still granting",
+        replace(SERIES_RULES, reports_after_end=False),
+    ),
+    _series_variant(
+        "accepted fence counts for other ranges", replace(SERIES_RULES, accepted_by_range=False)
+    ),
+    _series_variant("no wait in a new era", replace(SERIES_RULES, waits_in_new_era=False)),
+    _series_variant(
+        "fences from the stored map in a new era",
+        replace(SERIES_RULES, fences_by_era=False),
+        NEW_FENCES,
+    ),
+    _series_variant("lease renewed across eras", replace(SERIES_RULES, lease_by_era=False)),
+    _series_variant("write carried out across eras", replace(SERIES_RULES, write_by_era=False)),
 )
 
 LIMITS: tuple[Variant, ...] = (
