Test how a new granter learns of owners and of earlier granters

Rules of the take-over one by one: waits that are handed on, a planned stop, terms without a record, a record that cannot be read, moves and whole maps that the store's copy lacks and other daemons know.

--- /dev/null
+++ b/libs/gateway/tests/test_take_over.py
@@ -0,0 +1,210 @@
+"""A new granter begins with the newest owners known, and waits for all that may still grant."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
+
+import pytest
+
+from fuchsiawell.gateway.control.peers import PeerMessenger
+from fuchsiawell.gateway.control.shard_map_record import ShardMapRecord
+from fuchsiawell.gateway.control.store_keys import PAST_GRANTERS_PREFIX, SHARDS_PREFIX
+from fuchsiawell.gateway.control.take_over import COUNTERS_PER_ERA, take_over
+from fuchsiawell.gateway.session.state import Peer
+from fuchsiawell.shards import (
+    KEY_COUNT,
+    UNKNOWN_GRANTER,
+    Assignment,
+    GrantTiming,
+    Owner,
+    PastGranters,
+    ShardMap,
+    decode_map,
+    decode_past_granters,
+    encode_map,
+    encode_past_granters,
+)
+from fuchsiawell.standins import (
+    MemoryDatagrams,
+    MemoryStore,
+    VirtualClock,
+    run_in_virtual_time,
+)
+
+from builders import log_events, session
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fuchsiawell.gateway.control.take_over import TermStart
+    from fuchsiawell.gateway.session.state import Session
+
+TIMING = GrantTiming()
+FIRST, SECOND = Owner("i-1", 1, "i-1", 80), Owner("i-2", 1, "i-2", 80)
+MAP_KEY, PAST_KEY = SHARDS_PREFIX + "s", PAST_GRANTERS_PREFIX + "s"
+
+
+def _map(granter: str, term: int, *fences_and_owners: tuple[int, Owner]) -> ShardMap:
+    count = len(fences_and_owners)
+    assignments = tuple(
+        Assignment(n * KEY_COUNT // count, (n + 1) * KEY_COUNT // count - 1, fence, owner)
+        for n, (fence, owner) in enumerate(fences_and_owners)
+    )
+    next_fence = max(fence for fence, _ in fences_and_owners) + 1
+    return ShardMap("s", granter, term, next_fence, assignments)
+
+
+class Site:
+    """Daemons d-1 to d-3 with a store; d-1 takes over."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.store = MemoryStore(self.clock)
+        self.datagrams = MemoryDatagrams(Random(1), 0.002)
+        self.sessions: dict[str, Session] = {}
+        self.messengers: dict[str, PeerMessenger] = {}
+        names = ("d-1", "d-2", "d-3")
+        for name in names:
+            daemon_session = session(cast("Any", self.clock), name)
+            for other in names:
+                if other != name:
+                    daemon_session.update_peer(Peer(other, "x", other, 0))
+            self.sessions[name] = daemon_session
+            self.messengers[name] = PeerMessenger(daemon_session)
+            self.datagrams.attach(name, self.messengers[name])
+
+    def put(self, shard_map: ShardMap, past: PastGranters | None = None) -> None:
+        self.store.put(MAP_KEY, encode_map(shard_map))
+        if past is not None:
+            self.store.put(PAST_KEY, encode_past_granters(past))
+
+    async def take_over(self) -> TermStart:
+        daemon_session = self.sessions["d-1"]
+        record = ShardMapRecord("s", self.store, daemon_session.log)
+        view: Any = None
+        return await take_over(daemon_session, record, view, self.messengers["d-1"], TIMING)
+
+    def waits_s(self, start: TermStart) -> dict[str, float]:
+        """Return how long the new granter waits for whom."""
+        now_s = self.clock.monotonic()
+        return {n: round(until_s - now_s, 3) for n, until_s in start.renews_until_s.items()}
+
+    def recorded(self) -> dict[str, float]:
+        past = decode_past_granters(self.store.items[PAST_KEY].value or b"")
+        assert past.term == decode_map(self.store.items[MAP_KEY].value or b"").term
+        return dict(past.remaining_s_by_name)
+
+
+def run(scenario: Callable[[Site], Awaitable[None]]) -> None:
+    async def play() -> None:
+        await scenario(Site())
+
+    run_in_virtual_time(play())
+
+
+def test_wait_for_each_earlier_granter_is_taken_over_and_handed_on() -> None:
+    async def scenario(site: Site) -> None:
+        past = PastGranters(4, {"d-2": 12.0, "d-8": 7.5, "d-1": 3.0})
+        site.put(_map("d-2", 4, (9, FIRST)), past)
+        start = await site.take_over()
+        assert site.waits_s(start) == {"d-1": 0.0, "d-2": 12.0, "d-8": 7.5}
+        assert site.recorded() == {"d-1": 12.0, "d-2": 12.0, "d-8": 7.5}
+        assert start.shard_map.term == 5
+        assert start.shard_map.assignments[0].fence > 9
+
+    run(scenario)
+
+
+# A granter that stopped as planned leaves no name in the map, but those that it waited for.
+def test_nobody_is_waited_for_after_a_planned_stop_but_those_before() -> None:
+    async def scenario(site: Site) -> None:
+        site.put(_map("", 4, (9, FIRST)), PastGranters(4, {}))
+        assert site.waits_s(await site.take_over()) == {"d-1": 0.0}
+        site.put(_map("", 7, (19, FIRST)), PastGranters(7, {"d-9": 2.0}))
+        assert site.waits_s(await site.take_over()) == {"d-1": 0.0, "d-9": 2.0}
+
+    run(scenario)
+
+
+# Guards against terms of an earlier release, which writes no record, that nobody waits for.
+@pytest.mark.parametrize(
+    ("term", "recorded_term", "unknown"),
+    [(1, None, False), (2, None, True), (5, 4, False), (5, 3, True), (5, 5, False)],
+)
+def test_terms_without_a_record_count_as_granted_by_somebody(
+    term: int, recorded_term: int | None, unknown: bool
+) -> None:
+    async def scenario(site: Site) -> None:
+        past = None if recorded_term is None else PastGranters(recorded_term, {"d-2": 1.0})
+        site.put(_map("d-3", term, (9, FIRST)), past)
+        waits_s = site.waits_s(await site.take_over())
+        assert waits_s["d-3"] == TIMING.renew_without_store_s
+        assert waits_s.get(UNKNOWN_GRANTER) == (TIMING.renew_without_store_s if unknown else None)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xc1", b"\x93\x01\x04\x91\x92\xa1x\xff", b"\x90"])
+def test_record_that_cannot_be_read_is_logged_and_counts_as_missing(value: bytes) -> None:
+    async def scenario(site: Site) -> None:
+        site.put(_map("d-3", 4, (9, FIRST)))
+        site.store.put(PAST_KEY, value)
+        waits_s = site.waits_s(await site.take_over())
+        assert waits_s[UNKNOWN_GRANTER] == TIMING.renew_without_store_s
+        events = log_events(
+            site.sessions["d-1"],
+            "record of past granters unreadable, waiting for any that may be left",
+        )
+        assert [event["key"] for event in events] == [PAST_KEY]
+
+    run(scenario)
+
+
+# Guards against owners of an older copy: the new granter missed a move that another daemon knows.
+def test_first_granter_of_an_era_asks_the_others_for_moves_that_the_copy_lacks() -> None:
+    async def scenario(site: Site) -> None:
+        site.store.era = 2
+        site.put(_map("d-2", 1, (1, FIRST), (2, FIRST)))
+        known = _map("d-2", 2, (11, FIRST), (12, FIRST))
+        site.sessions["d-1"].apply_shard_map(known, "test")
+        moved = known.assign([(0, 99, SECOND)])
+        site.sessions["d-3"].apply_shard_map(moved, "test")
+        start = await site.take_over()
+        assert start.shard_map.assignment_for(50).owner == SECOND
+        assert start.shard_map.assignment_for(100).owner == FIRST
+        assert start.shard_map.term > 2 * COUNTERS_PER_ERA
+        assert min(a.fence for a in start.shard_map.assignments) > 2 * COUNTERS_PER_ERA
+        assert site.waits_s(start)[UNKNOWN_GRANTER] == TIMING.renew_without_store_s
+        # The next one finds a map of this era and asks nobody.
+        sent = site.datagrams.sent
+        later = await site.take_over()
+        assert later.shard_map.term == start.shard_map.term + 1
+        assert site.datagrams.sent == sent
+
+    run(scenario)
+
+
+# Guards against a first map over one that the copy is too old to have.
+def test_map_that_the_copy_lacks_is_put_together_from_the_others() -> None:
+    async def scenario(site: Site) -> None:
+        site.store.era = 2
+        known = _map("d-2", 2, *[(n + 1, FIRST if n % 2 else SECOND) for n in range(256)])
+        site.sessions["d-2"].apply_shard_map(known, "test")
+        start = await site.take_over()
+        assert [a.owner for a in start.shard_map.assignments] == [
+            a.owner for a in known.assignments
+        ]
+
+    run(scenario)
+
+
+async def test_daemon_without_a_map_does_not_reply() -> None:
+    site = Site()
+    assert await site.messengers["d-1"].request_assignments("s", 0) == []
+    site.sessions["d-1"].peers_by_name.clear()
+    sent = site.datagrams.sent
+    assert await site.messengers["d-1"].request_assignments("s", 0) == []
+    assert site.datagrams.sent == sent
+    await asyncio.sleep(0)
