Roll the store back in the soak, and end evacuations that a copy lacks

The soak now brings the store back from a copy of 0.2 to 4 s ago each 3 to 10 s, beside all other faults and with its own random numbers; the operator and the servers write again within 1 s. A mutant that takes no notice of the era.

Evacuations that a copy lacks end now after 2.2 s unless they are written again, as servers do; test_evacuation_that_the_copy_lacks_ends_unless_it_is_written_again failed before, both cases pass now.

--- a/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
@@ -14,6 +14,8 @@
 
 # Part of a key without a usable zone that is logged.
 MAX_LOGGED_CHARACTERS = 80
+# Time in which the operator writes a key again that an older copy of the store lacks.
+KEY_RETURN_S = 2.2
 
 
 class Evacuations:
@@ -24,6 +26,8 @@
         self._prefix = prefix
         # Whether the keys were listed since the start of the daemon.
         self._listed = False
+        # Until when zones stay evacuated whose keys a copy of the store lacks.
+        self._missing_until_s: dict[str, float] = {}
         self.on_zone_taken_back: Callable[[str], None] = _ignore
 
     def apply(self, item: Item, unconfirmed_s: float) -> None:
@@ -48,6 +52,19 @@
         for zone in [z for z in self._session.evacuated_zones if self._prefix + z not in keys]:
             self._take_back(zone)
 
+    def finish_copy(self, keys: Collection[str]) -> None:
+        """Take back the zones that an older copy of the store does not name, if that remains so."""
+        until_s = self._session.now_s + KEY_RETURN_S
+        for zone in self._session.evacuated_zones:
+            if self._prefix + zone not in keys:
+                self._missing_until_s[zone] = until_s
+
+    def expire(self) -> None:
+        """Take back the zones whose keys were not written again in time."""
+        now_s = self._session.now_s
+        for zone in [zone for zone, until_s in self._missing_until_s.items() if until_s <= now_s]:
+            self._take_back(zone)
+
     def count_ranges(self, zone: str | None = None) -> int:
         """Return the number of key ranges owned by servers of a zone, or of all evacuated ones."""
         session = self._session
@@ -74,6 +91,7 @@
 
     def _evacuate(self, zone: str, item: Item, unconfirmed_s: float) -> None:
         session = self._session
+        self._missing_until_s.pop(zone, None)
         if zone in session.evacuated_zones:
             return
         # An evacuation that may have begun earlier than a daemon in contact with the store learns
@@ -87,6 +105,7 @@
         session.wake()
 
     def _take_back(self, zone: str) -> None:
+        self._missing_until_s.pop(zone, None)
         if self._session.evacuated_zones.remove(zone):
             self._log("zone taken back", zone)
             self.on_zone_taken_back(zone)
--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -80,7 +80,9 @@
         evacuations_prefix = self._records.evacuations_prefix
         for item in sorted(items, key=lambda i: i.key.startswith(evacuations_prefix)):
             self.apply(item)
-        if not self._lists_copy:
+        if self._lists_copy:
+            self.evacuations.finish_copy(present)
+        else:
             self.evacuations.finish_listing(present)
 
     def apply(self, item: Item) -> bool:
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -117,7 +117,11 @@
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 1.7)
 
     def expire_backends(self) -> None:
-        """Remove servers whose entries did not return after the store was unavailable."""
+        """Remove servers whose entries did not return after the store was unavailable.
+
+        The same for evacuations that an older copy of the store lacks.
+        """
+        self.evacuations.expire()
         for backend_id in self._session.directory.expire(self._session.now_s):
             self._session.log.event("backend gone", server=backend_id, why="entry did not return")
 
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -240,3 +240,29 @@
     clock.advance(1.1)
     assert not await record.compare_and_swap(_map("d-1", 2))
     await store.write([Write("x", b"", 0)])
+
+
+# Guards against a zone that stays evacuated for good: it was taken back in the time that the store
+# has forgotten, so no change says so any more (soak seed 1, "zone evacuated" for 90 s).
+@pytest.mark.parametrize("written_again", [False, True])
+def test_evacuation_that_the_copy_lacks_ends_unless_it_is_written_again(
+    monkeypatch: Any, written_again: bool
+) -> None:
+    async def scenario(site: StoreSite) -> None:
+        site.store.era = 1
+        daemon = site.add("d-1")
+        await site.wait_until(lambda: daemon.version == 1)
+        copy = site.store.copy()
+        site.store.put("evacuate/z1", b"{}")
+        await site.wait_until(lambda: "z1" in daemon.session.evacuated_zones)
+        site.store.restore(copy)
+        await asyncio.sleep(1.0)
+        assert "z1" in daemon.session.evacuated_zones
+        if written_again:
+            site.store.put("evacuate/z1", b"{}")
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            daemon.watcher.expire_backends()
+        assert ("z1" in daemon.session.evacuated_zones) == written_again
+
+    run_site(monkeypatch, scenario)
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -12,6 +12,7 @@
 from fuchsiawell.soak.faults import FAULTS, Faults
 from fuchsiawell.soak.server_cuts import ServerCuts
 from fuchsiawell.soak.site import SoakSite
+from fuchsiawell.soak.store_rollbacks import StoreRollbacks
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -74,6 +75,7 @@
             asyncio.create_task(faults.rest_servers(Random(seed + 4))),
             asyncio.create_task(cuts.run(Random(seed + 5))),
             asyncio.create_task(faults.evacuate_zone(Random(seed + 7))),
+            asyncio.create_task(StoreRollbacks(site).run(Random(seed + 8))),
         ]
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -115,6 +115,7 @@
         self.evacuation_audit = EvacuationAudit()
         self.daemon_by_peer: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
+        self.store.era = 1
         self.servers: dict[str, CheckedServer] = {}
         self.server_proxies: dict[str, ServerProxies] = {}
         self.store_proxies: dict[str, Proxy] = {}
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -19,6 +19,7 @@
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
 from fuchsiawell.gateway.execute.relaying import Relaying
+from fuchsiawell.gateway.ports import Store
 from fuchsiawell.gateway.session.state import Session
 from fuchsiawell.httpio import ClientConnection, Exchange
 from fuchsiawell.shards import GrantExpiryTracker
@@ -143,6 +144,11 @@
     Reachability.cut_off = property(cut_off)  # type: ignore[method-assign, assignment]
 
 
+def _ignore_era() -> None:
+    """Take no notice of a store that comes back from an older copy."""
+    Store.observe_era = lambda self, step, peer, era: None  # type: ignore[method-assign]
+
+
 MUTANTS = {
     "repeat-all": _repeat_all,
     "lie": _lie,
@@ -156,6 +162,7 @@
     "leave-zone-out": _leave_zone_out,
     "never-relay": _never_relay,
     "keep-granting": _keep_granting,
+    "ignore-era": _ignore_era,
 }
 
 
