Tell by which configuration a request was refused as wrong

A 404 of ours named neither the request nor the version of the configuration that lacks the route, so logs could not tell a wrong request from a daemon that goes by an older configuration than others (hypothesis H1), nor from limits of the head or body (H4). The line of a 400, 404, 413 or 431 carries the request's id, the version and the age of the daemon's knowledge; the counter wrong_requests has status and version.

--- a/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/forwarder.py
@@ -91,7 +91,7 @@
         path = head.target.split(b"?", 1)[0].decode("latin-1")
         route = configuration.find_route(host.partition(":")[0], path)
         if route is None:
-            return unknown_route(f"no route for {host}{path}")
+            return unknown_route(f"no route for {host}{path}", metadata.request_id)
         if order is not None and order.version == configuration.version:
             service: str | None = order.service
         else:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/frontend.py
@@ -356,10 +356,7 @@
         return end_to_end_fields(result.head.fields, PRIVATE_FIELDS)
 
     async def _refuse_malformed(self, connection: ServerConnection, error: BadRequestError) -> None:
-        self._session.request_log.write(
-            "request refused", why=str(error), status=error.status, step="head"
-        )
-        self._session.metrics.count("refusals", "malformed")
+        self._records.malformed(error.status, str(error))
         await connection.send_response(error.status, [], b"", close_after=True)
         await connection.channel.close_after_peer(LINGER_LIMITS)
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/refusal.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/refusal.py
@@ -19,6 +19,8 @@
     reason: str
     # Set only if the request was certainly not executed.
     retry_after: timedelta | None = None
+    # Set if the request was refused before it became a ClientRequest.
+    request_id: str | None = None
 
 
 def not_executed(reason: str, retry_after_s: float) -> Refusal:
@@ -41,6 +43,6 @@
     return Refusal(504, reason)
 
 
-def unknown_route(reason: str) -> Refusal:
+def unknown_route(reason: str, request_id: str) -> Refusal:
     """Return a 404: the configuration has no route for the request."""
-    return Refusal(404, reason)
+    return Refusal(404, reason, request_id=request_id)
--- a/libs/gateway/src/fuchsiawell/gateway/execute/request_records.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/request_records.py
@@ -15,6 +15,8 @@
 __all__ = ["RequestRecords"]
 
 MAX_LOGGED_PATH_BYTES = 200
+# Statuses that tell a client not to try again: its request is wrong by the configuration in force.
+WRONG_REQUEST_STATUSES = frozenset((400, 404, 413, 431))
 
 
 class RequestRecords:
@@ -33,9 +35,10 @@
             session.metrics.count("answers", str(result.head.status))
             return
         session.metrics.count("refusals", str(result.status))
+        request_id = request.request_id if isinstance(request, ClientRequest) else None
         session.request_log.write(
             "request refused",
-            request=request.request_id if isinstance(request, ClientRequest) else None,
+            request=request_id or result.request_id,
             route=request.route.name if isinstance(request, ClientRequest) else None,
             status=result.status,
             why=result.reason,
@@ -45,8 +48,26 @@
                 if result.retry_after is None
                 else round(result.retry_after.total_seconds() * 1000)
             ),
+            **self._wrong_request(result.status),
         )
 
+    def malformed(self, status: int, why: str) -> None:
+        """Log a request whose head cannot be used."""
+        session = self._session
+        session.metrics.count("refusals", "malformed")
+        session.request_log.write(
+            "request refused", why=why, status=status, step="head", **self._wrong_request(status)
+        )
+
+    def _wrong_request(self, status: int) -> dict[str, int]:
+        """Count a request that is refused as wrong; return the inputs of that decision, to log."""
+        if status not in WRONG_REQUEST_STATUSES:
+            return {}
+        session = self._session
+        version = 0 if session.configuration is None else session.configuration.version
+        session.metrics.count("wrong_requests", f"{status} by version {version}")
+        return {"configuration": version, "store_age_ms": round(session.store_age_s * 1000)}
+
     def internal_error(
         self,
         connection: ServerConnection,
