Keep leaving and removed servers away that the store's copy has as ready

What callers saw: requests, and keys, went to servers that had said that they leave, or whose entries had been removed without a word (DRAIN), after the store had come back from an older copy that has them as ready.

Marks of leaving were kept by the daemons that had lived through the drill, but not by those that start in or after it; of a removed incarnation nothing was kept at all, so that every daemon took it back, and kept it for 2.2 s more when its removal was written again.

Change: a directory remembers the incarnations that were removed, for 60 s. An entry of a copy that names one is held back: it is used if it is written in the new era, or if it is still there after 6 s, so that its server renews it. Entries of servers that are missing are treated so if they are few, as elsewhere. Daemons that answer a recall name the incarnations that leave, those that were removed and the evacuated zones, each with its age.

--- a/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/change_frames.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import isfinite
 from typing import TYPE_CHECKING
 
@@ -11,6 +11,8 @@
 from fuchsiawell.gateway.ports import Item, StoreChanges
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from fuchsiawell.httpio import Channel
 
 __all__ = [
@@ -105,6 +107,12 @@
     version: int
     # Record of that configuration, if it is newer than the one of whoever asked.
     configuration: bytes | None = None
+    # For how many milliseconds server incarnations leave, and how long ago their entries were
+    # removed, by "server id/incarnation number".
+    leaving_ms: Mapping[str, int] = field(default_factory=dict)
+    removed_ms: Mapping[str, int] = field(default_factory=dict)
+    # For how many milliseconds zones are evacuated, by name.
+    evacuated_ms: Mapping[str, int] = field(default_factory=dict)
 
 
 Frame = (
@@ -129,8 +137,9 @@
             row = ["gap"]
         case Recall(name, version):
             row = ["recall", name, version]
-        case Recalled(version, configuration):
-            row = ["recalled", version, configuration]
+        case Recalled(version, configuration, leaving_ms, removed_ms, evacuated_ms):
+            ages = [dict(leaving_ms), dict(removed_ms), dict(evacuated_ms)]
+            row = ["recalled", version, configuration, *ages]
         case StoreChanges(items, as_of):
             row = ["events", [[i.key, i.value, i.revision, i.lease] for i in items], as_of]
     data = bytes(msgpack.packb(row))
@@ -177,8 +186,8 @@
                 return Gap()
             case ["recall", str(name), version]:
                 return Recall(name, _number(version))
-            case ["recalled", version, bytes() | None as configuration]:
-                return Recalled(_number(version), configuration)
+            case ["recalled", version, bytes() | None as configuration, *ages] if len(ages) == 3:
+                return Recalled(_number(version), configuration, *map(_decode_ages, ages))
             case ["events", list(rows), as_of]:
                 return StoreChanges([_decode_item(row) for row in rows], _number(as_of))
     except (msgpack.UnpackException, TypeError, ValueError) as error:
@@ -194,6 +203,12 @@
             raise ValueError("store item with fields of another type")
 
 
+def _decode_ages(row: object) -> dict[str, int]:
+    if not isinstance(row, dict) or not all(isinstance(name, str) for name in row):
+        raise ValueError("ages that are not by name")
+    return {name: _number(age_ms) for name, age_ms in row.items()}
+
+
 def _number(value: object) -> int:
     if not isinstance(value, int) or not 0 <= value <= MAX_NUMBER:
         raise ValueError(f"{value!r} is no number in range")
--- a/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
@@ -46,6 +46,14 @@
         else:
             self._evacuate(zone, item, unconfirmed_s)
 
+    def recall(self, zone: str, since_s: float) -> None:
+        """Evacuate a zone of which another daemon knows, until the store has been listed."""
+        session = self._session
+        if zone in session.evacuated_zones or not session.evacuated_zones.add(zone, since_s):
+            return
+        self._log("zone evacuated", zone)
+        session.wake()
+
     def finish_listing(self, keys: Collection[str]) -> None:
         """Take back the zones that a listing does not name, once its items have been applied."""
         self._listed = True
--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -17,13 +17,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from fuchsiawell.gateway.control.change_frames import Recalled
     from fuchsiawell.gateway.ports import Item, RecordDecoder
     from fuchsiawell.gateway.session.state import Peer, Session
+    from fuchsiawell.routing import Backend
 
 __all__ = ["STORE_SOURCE", "ItemApplier"]
 
 # Source of changes that came from the store itself, in logs.
 STORE_SOURCE = "store"
+# An entry that is in the store for this time is renewed by its server: entries last three
+# heartbeats (up to 4.5 s), and the news of a removal takes a second.
+RENEWAL_PROOF_S = 6.0
 # Unusable parts of one configuration that are logged.
 MAX_LOGGED_PROBLEMS = 10
 
@@ -43,6 +48,8 @@
         # A record that was not taken for that reason.
         self._older_record: bytes | None = None
         self._lists_copy = False
+        # Entries of a copy whose servers had been removed, and until when they are not used.
+        self._held_by_key: dict[str, tuple[Backend, float]] = {}
         # Where the changes being applied came from, the store or the name of a hub, and the time
         # until then since the last contact.
         self.source, self.unconfirmed_s = STORE_SOURCE, 0.0
@@ -75,6 +82,30 @@
             self._forgotten_version = None
             self._take_configuration(record)
 
+    def recall_servers(self, answer: Recalled, source: str) -> None:
+        """Apply what another daemon knows of servers and zones."""
+        session = self._session
+        now_s = session.now_s
+        for incarnation_id, age_ms in answer.leaving_ms.items():
+            backend_id = incarnation_id.rpartition("/")[0]
+            session.record_leaving(backend_id, incarnation_id, source, now_s - age_ms / 1000)
+        for incarnation_id, age_ms in answer.removed_ms.items():
+            if session.directory.record_removed(incarnation_id, now_s - age_ms / 1000):
+                session.log.event(
+                    "backend gone", server=incarnation_id, why="removed", source=source
+                )
+        for zone, age_ms in answer.evacuated_ms.items():
+            self.evacuations.recall(zone, now_s - age_ms / 1000)
+
+    def accept_held_entries(self) -> None:
+        """Use servers that had been removed, but whose entries have outlived their expiry."""
+        now_s = self._session.now_s
+        due = [key for key, (_, until_s) in self._held_by_key.items() if until_s <= now_s]
+        for key in due:
+            backend, _ = self._held_by_key.pop(key)
+            self._session.log.event("entry of a removed server taken", server=backend.id)
+            self._session.update_backend(backend)
+
     def recall_configuration(self, record: bytes, source: str) -> None:
         """Apply a configuration that another daemon has and the store may have forgotten."""
         store_source, self.source = self.source, source
@@ -112,6 +143,8 @@
         session = self._session
         prefix = self._records.backends_prefix
         present = {item.key for item in items}
+        for key in self._held_by_key.keys() - present:
+            del self._held_by_key[key]
         for backend_id in [b for b in session.directory.by_id if prefix + b not in present]:
             session.remove_backend(backend_id)
         for name in [n for n in session.peers_by_name if DAEMONS_PREFIX + n not in present]:
@@ -214,6 +247,7 @@
 
     def _apply_backend(self, item: Item) -> None:
         backend_id = item.key.removeprefix(self._records.backends_prefix)
+        self._held_by_key.pop(item.key, None)
         if item.value is None:
             self._session.remove_backend(backend_id)
             return
@@ -225,8 +259,26 @@
         if self._lists_copy and known is not None and known.incarnation > backend.incarnation:
             # The server has started again since the copy was made.
             return
+        if self._lists_copy and self._was_removed(backend):
+            self._hold(item.key, backend)
+            return
         self._session.update_backend(backend, self.unconfirmed_s)
 
+    def _was_removed(self, backend: Backend) -> bool:
+        """Return whether the entry of a server was removed before the store forgot it."""
+        directory = self._session.directory
+        return backend.incarnation_id in directory.removed or directory.is_left_out(backend.id)
+
+    def _hold(self, key: str, backend: Backend) -> None:
+        """Do not use a server unless it goes on to renew its entry."""
+        self._held_by_key[key] = backend, self._session.now_s + RENEWAL_PROOF_S
+        self._session.log.event(
+            "entry of a removed server not taken",
+            server=backend.id,
+            incarnation=backend.incarnation,
+            why="the store may have forgotten the removal",
+        )
+
     def _apply_map(self, item: Item) -> bool:
         if item.value is None:
             return False
--- a/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/maintenance.py
@@ -58,6 +58,7 @@
                 self._session.server_loads.retain(incarnation_ids)
                 self._session.server_rests.retain(incarnation_ids, self._session.now_s)
                 self._session.leaving_servers.retain(incarnation_ids, self._session.now_s)
+                self._session.directory.removed.expire(self._session.now_s)
 
     def _record_overdue(self) -> None:
         session = self._session
--- a/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
@@ -29,6 +29,8 @@
 ASK_TIMEOUT_S = 0.3
 # A configuration may be large and a link slow.
 FETCH_TIMEOUT_S = 2.0
+# Servers, and zones, that are named in an answer, and the longest time for which they are known.
+MAX_AGES, MAX_AGE_S = 1000, 86_400.0
 # Asks for no record: nobody has a newer configuration.
 NEWEST_VERSION = 2**63 - 1
 
@@ -43,12 +45,14 @@
 
     def answer(self, request: Recall) -> Recalled:
         """Return what another daemon asks for."""
-        configuration = self._session.configuration
-        if configuration is None:
-            return Recalled(0)
-        is_newer = configuration.version > request.version
+        session, now_s = self._session, self._session.now_s
+        version = 0 if session.configuration is None else session.configuration.version
         return Recalled(
-            configuration.version, self._items.configuration_record if is_newer else None
+            version,
+            self._items.configuration_record if version > request.version else None,
+            _ages_ms(session.leaving_servers.since_s_by_incarnation(), now_s),
+            _ages_ms(session.directory.removed, now_s),
+            _ages_ms(session.evacuated_zones, now_s),
         )
 
     async def recall(self, items: Sequence[Item]) -> None:
@@ -58,6 +62,8 @@
         """
         listed = {peer.name: peer for peer in self._items.peers_among(items)}
         answers = await self._ask({**listed, **self._session.peers_by_name}.values())
+        for peer, answer in answers.items():
+            self._items.recall_servers(answer, peer.name)
         newest = max((answer.version for answer in answers.values()), default=0)
         if self._items.expect_version(newest):
             self.close()
@@ -119,3 +125,9 @@
             "daemon not asked", step="recall", daemon=peer.name, peer=peer.host, reason=reason
         )
         return None
+
+
+def _ages_ms(since_s: Mapping[str, float], now_s: float) -> dict[str, int]:
+    """Return how long each has lasted, of those that began last."""
+    latest = sorted(since_s, key=since_s.__getitem__, reverse=True)[:MAX_AGES]
+    return {name: round(min(now_s - since_s[name], MAX_AGE_S) * 1000) for name in latest}
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -135,6 +135,8 @@
         The same for evacuations that an older copy of the store lacks.
         """
         self.evacuations.expire()
+        if not self._store_unavailable:
+            self._items.accept_held_entries()
         for backend_id in self._session.directory.expire(self._session.now_s):
             self._session.log.event("backend gone", server=backend_id, why="entry did not return")
 
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -274,16 +274,22 @@
         record_cold_entry(self, backend, is_new)
         self.wake(backend.service)
 
-    def record_leaving(self, backend_id: str, incarnation_id: str, source: str) -> bool:
-        """Treat a server incarnation as draining, for good; return whether that was not known."""
-        if not self.leaving_servers.record(incarnation_id, self.now_s):
+    def record_leaving(
+        self, backend_id: str, incarnation_id: str, source: str, since_s: float | None = None
+    ) -> bool:
+        """Treat a server incarnation as draining, for good; return whether that was not known.
+
+        It leaves since `since_s`, or since now.
+        """
+        since_s = self.now_s if since_s is None else since_s
+        if not self.leaving_servers.record(incarnation_id, since_s):
             return False
         self.log.event(
             "server leaving", server=backend_id, incarnation=incarnation_id, source=source
         )
         backend = self.directory.by_id.get(backend_id)
         if backend is not None and backend.incarnation_id == incarnation_id:
-            self._drain_started_s.setdefault(backend_id, self.now_s)
+            self._drain_started_s.setdefault(backend_id, since_s)
             self.directory.mark_draining(backend_id)
             self.wake(backend.service)
         return True
--- a/libs/gateway/tests/message_samples.py
+++ b/libs/gateway/tests/message_samples.py
@@ -68,7 +68,7 @@
     "keep-alive": frames.KeepAlive(),
     "gap": frames.Gap(),
     "recall": frames.Recall("d-1", 7),
-    "recalled": frames.Recalled(8, b"{}"),
+    "recalled": frames.Recalled(8, b"{}", {"i-1/5": 700}, {"i-2/6": 900}, {"b": 40}),
     "changes": StoreChanges([Item("a", b"v", 13, 5), Item("b", None, 14, 0)], 14),
 }
 RELAY_FIELDS: dict[str, relays.RelayOrder | relays.RelayReply] = {
--- a/libs/routing/src/fuchsiawell/routing/__init__.py
+++ b/libs/routing/src/fuchsiawell/routing/__init__.py
@@ -13,6 +13,7 @@
 from fuchsiawell.routing.directory import Backend, BackendDirectory
 from fuchsiawell.routing.evacuated_zones import EvacuatedZones
 from fuchsiawell.routing.leaving_servers import LeavingServers
+from fuchsiawell.routing.removed_servers import RemovedServers
 from fuchsiawell.routing.traffic_split import TrafficSplitter
 
 __all__ = [
@@ -23,6 +24,7 @@
     "EvacuatedZones",
     "Idempotency",
     "LeavingServers",
+    "RemovedServers",
     "Route",
     "Service",
     "TrafficSplitter",
--- a/libs/routing/src/fuchsiawell/routing/directory.py
+++ b/libs/routing/src/fuchsiawell/routing/directory.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from fuchsiawell.routing.removed_servers import RemovedServers
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
     from datetime import timedelta
@@ -60,6 +62,7 @@
     def __init__(self, evacuated_zones: Collection[str] = ()) -> None:
         self._evacuated_zones = evacuated_zones
         self._by_id: dict[str, Backend] = {}
+        self.removed = RemovedServers()
         self._missing_until_s: dict[str, float] = {}
         self._last_unavailable_s = float("-inf")
         self._available_since_s = float("-inf")
@@ -112,6 +115,15 @@
         present = [backend for backend in ready if backend.id not in self._missing_until_s]
         return present if len(present) >= MIN_PRESENT_RATIO * len(ready) else ready
 
+    def is_left_out(self, backend_id: str) -> bool:
+        """Return whether a server's entry is missing and counts as removed, as only few are."""
+        backend = self._by_id.get(backend_id)
+        return (
+            backend is not None
+            and backend_id in self._missing_until_s
+            and backend not in self.preferred(backend.service)
+        )
+
     def on_store_unavailable(self, now_s: float) -> None:
         """Record that the store does not respond to this daemon."""
         self._store_unavailable = True
@@ -126,6 +138,7 @@
     def upsert(self, backend: Backend) -> None:
         """Add or update a server."""
         self._missing_until_s.pop(backend.id, None)
+        self.removed.discard(backend.incarnation_id)
         self._by_id[backend.id] = backend
 
     def mark_draining(self, backend_id: str) -> None:
@@ -144,7 +157,16 @@
             )
             self._missing_until_s[backend_id] = start_s + ENTRY_RETURN_S
         else:
-            del self._by_id[backend_id]
+            self._discard(backend_id, now_s)
+
+    def record_removed(self, incarnation_id: str, removed_s: float) -> bool:
+        """Record a removal of which another daemon knows; return whether the server was listed."""
+        self.removed.record(incarnation_id, removed_s)
+        backend = self._by_id.get(incarnation_id.rpartition("/")[0])
+        if backend is None or backend.incarnation_id != incarnation_id:
+            return False
+        self._discard(backend.id, removed_s)
+        return True
 
     def expire(self, now_s: float) -> list[str]:
         """Remove servers whose entries are still missing; return their ids."""
@@ -156,6 +178,9 @@
             if now_s >= max(until_s, self._available_since_s + ENTRY_RETURN_S)
         ]
         for backend_id in removed:
-            del self._missing_until_s[backend_id]
-            self._by_id.pop(backend_id, None)
+            self._discard(backend_id, now_s)
         return removed
+
+    def _discard(self, backend_id: str, now_s: float) -> None:
+        self._missing_until_s.pop(backend_id, None)
+        self.removed.record(self._by_id.pop(backend_id).incarnation_id, now_s)
--- a/libs/routing/src/fuchsiawell/routing/leaving_servers.py
+++ b/libs/routing/src/fuchsiawell/routing/leaving_servers.py
@@ -41,6 +41,10 @@
         leaving = self._by_incarnation.get(incarnation_id)
         return None if leaving is None else leaving.since_s
 
+    def since_s_by_incarnation(self) -> dict[str, float]:
+        """Return the times of the first records."""
+        return {name: leaving.since_s for name, leaving in self._by_incarnation.items()}
+
     def retain(self, listed: Collection[str], now_s: float) -> None:
         """Discard incarnations that have not been listed for UNLISTED_RETENTION_S."""
         for incarnation_id, leaving in list(self._by_incarnation.items()):
