Grant no keys by a copy of the store that nobody can vouch for

What callers saw: two servers held the same keys, or one was given keys under a fence below another's (OWNER), where all daemons had lost power in a drill of the store.

Cause: the first granter of an era starts from the newest assignments that it or another daemon knows. If nobody is left who lived through the drill, that is the copy, and silence of the others was taken for agreement. The owners that it names were granted at once, while servers held what had moved since; the wait for unknown granters held back moves only.

Change: a daemon remembers since which era it has known the store. A new granter asks, beside the newer assignments, who knew the last ones (datagrams b, d); a reply says how many assignments were sent, as some may be lost. If neither it nor anybody else did, nothing is granted until any grant of the lost seconds has run out (12 s of renewals without the store, and the grant itself: 14.9 s). The wait is in the record of past granters, under a name of its own, so that a successor waits for the rest. A daemon cut off from the store for 12 s vouches for nothing. Known limit: a copy without any map counts as whole, as each service begins without one.

--- a/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from fuchsiawell.shards import Assignment
 
-__all__ = ["MapReply", "MapRequest"]
+__all__ = ["MapReply", "MapRequest", "NewerAssignments", "WitnessReply", "WitnessRequest"]
 
 
 @dataclass(frozen=True)
@@ -25,3 +25,61 @@
 
     service: str
     assignments: list[Assignment]
+
+
+@dataclass(frozen=True)
+class WitnessRequest:
+    """Request to say whether a daemon knows the assignments of before an era of the store."""
+
+    service: str
+    era: int
+    min_fence: int
+
+
+@dataclass(frozen=True)
+class WitnessReply:
+    """The sender knows them; it has sent `newer` assignments whose fences are at least the asked.
+
+    No daemon replies that has begun in that era: it knows only what the store has not forgotten.
+    """
+
+    service: str
+    newer: int
+
+
+@dataclass
+class NewerAssignments:
+    """Replies to requests for the assignments of a service, by sender."""
+
+    _by_sender: dict[str, dict[int, Assignment]] = field(default_factory=dict)
+    _count_by_witness: dict[str, int] = field(default_factory=dict)
+
+    def add(self, sender: str, assignments: list[Assignment]) -> None:
+        """Add assignments that a daemon knows."""
+        known = self._by_sender.setdefault(sender, {})
+        known.update((assignment.fence, assignment) for assignment in assignments)
+
+    def add_witness(self, sender: str, count: int) -> None:
+        """Record that a daemon has known the last map of before, and has sent so many."""
+        self._count_by_witness[sender] = count
+
+    @property
+    def in_order(self) -> list[Assignment]:
+        """All assignments, in the order of their fences."""
+        assignments = {fence: a for known in self._by_sender.values() for fence, a in known.items()}
+        return [assignments[fence] for fence in sorted(assignments)]
+
+    @property
+    def witnessed(self) -> bool:
+        """Whether all that one daemon knew in the last era has arrived.
+
+        A daemon of an earlier release says nothing of this, but has newer assignments only if it
+        was there.
+        """
+        return any(
+            len(self._by_sender.get(sender, ())) >= count
+            for sender, count in self._count_by_witness.items()
+        ) or any(
+            known and sender not in self._count_by_witness
+            for sender, known in self._by_sender.items()
+        )
--- a/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peer_messages.py
@@ -15,7 +15,12 @@
     decode_cold_body,
     encode_cold_body,
 )
-from fuchsiawell.gateway.control.map_messages import MapReply, MapRequest
+from fuchsiawell.gateway.control.map_messages import (
+    MapReply,
+    MapRequest,
+    WitnessReply,
+    WitnessRequest,
+)
 from fuchsiawell.gateway.control.message_fields import MAX_NUMBER, PermitStatus
 from fuchsiawell.gateway.control.message_fields import decode_number as _number
 from fuchsiawell.gateway.control.message_fields import decode_text as _text
@@ -57,6 +62,8 @@
     "SuspicionCleared",
     "TermReport",
     "TotalLoadReport",
+    "WitnessReply",
+    "WitnessRequest",
     "decode_message",
     "encode_message",
 ]
@@ -202,6 +209,8 @@
     | PaceMessage
     | MapRequest
     | MapReply
+    | WitnessRequest
+    | WitnessReply
 )
 
 
@@ -258,6 +267,10 @@
             body = ["n", service, min_fence]
         case MapReply(service, assignments):
             body = ["j", service, [_encode_assignment(a) for a in assignments]]
+        case WitnessRequest(service, era, min_fence):
+            body = ["b", service, era, min_fence]
+        case WitnessReply(service, newer):
+            body = ["d", service, newer]
     return bytes(msgpack.packb([sender, lamport_time, *body]))
 
 
@@ -324,6 +337,10 @@
             return MapRequest(_text(service), _number(min_fence))
         case "j", [service, list(rows)]:
             return MapReply(_text(service), [_decode_assignment(*row) for row in rows])
+        case "b", [service, era, min_fence]:
+            return WitnessRequest(_text(service), _number(era), _number(min_fence))
+        case "d", [service, newer]:
+            return WitnessReply(_text(service), _number(newer))
         case _:
             raise ValueError(f"message kind {kind!r} is unknown")
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, cast
 
 from fuchsiawell.balance import short_id
+from fuchsiawell.gateway.control.map_messages import NewerAssignments
 from fuchsiawell.gateway.control.pace_messages import (
     GroupPaceReport,
     PaceMessage,
@@ -32,6 +33,8 @@
     SuspicionCleared,
     TermReport,
     TotalLoadReport,
+    WitnessReply,
+    WitnessRequest,
     decode_message,
     encode_message,
 )
@@ -70,7 +73,7 @@
         # Since the last line about such messages: when it was written, and messages left out.
         self._unreadable_logged_s, self._unreadable_count = float("-inf"), 0
         # Replies to this daemon's requests for assignments, by service.
-        self._map_replies: dict[str, list[Assignment]] = {}
+        self._map_replies: dict[str, NewerAssignments] = {}
         self.on_terms: Callable[[str, dict[str, int]], None] | None = None
         self.on_key_report: Callable[[KeyCountReport], None] | None = None
         self.on_load_report: (
@@ -145,18 +148,23 @@
                 elif granter is not None:
                     self.send([granter], report)
 
-    async def request_assignments(self, service: str, min_fence: int) -> list[Assignment]:
-        """Return assignments with fences from `min_fence` on that other daemons in touch know."""
+    async def request_assignments(self, service: str, min_fence: int, era: int) -> NewerAssignments:
+        """Return assignments with fences from `min_fence` on that other daemons in touch know.
+
+        They also say whether they have known the last ones of before the store's `era`.
+        """
+        replies = NewerAssignments()
         if not self._session.peers_by_name:
-            return []
-        replies = self._map_replies[service] = []
+            return replies
+        self._map_replies[service] = replies
         try:
             for _ in range(MAP_REQUESTS):
                 self.broadcast(MapRequest(service, min_fence))
+                self.broadcast(WitnessRequest(service, era, min_fence))
                 await asyncio.sleep(MAP_REPLY_WAIT_S)
         finally:
             self._map_replies.pop(service, None)
-        return sorted(replies, key=lambda assignment: assignment.fence)
+        return replies
 
     def close(self) -> None:
         """Close the socket; later messages are not sent."""
@@ -215,7 +223,13 @@
                 self._reply_with_assignments(sender, service, min_fence)
             case MapReply(service, assignments):
                 if service in self._map_replies:
-                    self._map_replies[service] += assignments
+                    self._map_replies[service].add(sender, assignments)
+            case WitnessRequest(service, era, min_fence):
+                if session.era_knowledge.covers_time_before(era, session.store_age_s):
+                    self._reply_as_witness(sender, service, min_fence)
+            case WitnessReply(service, newer):
+                if service in self._map_replies:
+                    self._map_replies[service].add_witness(sender, newer)
             case CrashReport(fingerprint, incarnation_id):
                 session.poison_detector.record_crash(fingerprint, incarnation_id, session.now_s)
             case SuspicionCleared(fingerprint):
@@ -246,13 +260,22 @@
 
     def _reply_with_assignments(self, sender: str, service: str, min_fence: int) -> None:
         peer = self._session.peers_by_name.get(sender)
-        known = self._session.shard_maps.get(service)
-        if peer is None or known is None:
+        newer = self._newer_assignments(service, min_fence)
+        if peer is None or newer is None:
             return
-        newer = [a for a in known.assignments if a.fence >= min_fence]
         for start in range(0, len(newer), MAX_REPLY_ASSIGNMENTS):
             self.send([peer], MapReply(service, newer[start : start + MAX_REPLY_ASSIGNMENTS]))
 
+    def _reply_as_witness(self, sender: str, service: str, min_fence: int) -> None:
+        peer = self._session.peers_by_name.get(sender)
+        newer = self._newer_assignments(service, min_fence)
+        if peer is not None and newer is not None:
+            self.send([peer], WitnessReply(service, len(newer)))
+
+    def _newer_assignments(self, service: str, min_fence: int) -> list[Assignment] | None:
+        known = self._session.shard_maps.get(service)
+        return None if known is None else [a for a in known.assignments if a.fence >= min_fence]
+
     def _apply_map_update(self, message: ShardMapUpdate) -> None:
         """Apply newer assignments, each of which has a fencing token of its own, in order.
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
@@ -9,6 +9,7 @@
 from fuchsiawell.shards import (
     KEY_COUNT,
     UNKNOWN_GRANTER,
+    UNKNOWN_OWNERS,
     Assignment,
     PastGranters,
     ShardMap,
@@ -24,7 +25,7 @@
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.shards import GrantTiming
 
-__all__ = ["TermStart", "counter_floor", "take_over"]
+__all__ = ["TermStart", "counter_floor", "take_over", "wait_for_unknown_owners"]
 
 # Terms and fences of an era of the store lie above its number times this, so that none is given out
 # again when the store forgets the last ones. Fewer than these are given out in an era.
@@ -42,6 +43,11 @@
     shard_map: ShardMap
     renews_until_s: Mapping[str, float]
 
+    @property
+    def owners_known_from_s(self) -> float:
+        """Monotonic time before which servers that the map does not name may own keys."""
+        return self.renews_until_s.get(UNKNOWN_OWNERS, float("-inf"))
+
 
 def counter_floor(era: int | None) -> int:
     """Return a number that all terms and fences of an era of the store are above."""
@@ -62,9 +68,9 @@
         floor = counter_floor(record.era)
         # The stored map may lack what the store has forgotten.
         begins_era = record.era is not None and (stored is None or stored.next_fence <= floor)
-        newest = stored
+        newest, witnessed = stored, True
         if begins_era:
-            newest = await _newest_map(record.service, stored, session, peers)
+            newest, witnessed = await _newest_map(record, stored, session, peers)
         now_s = session.now_s
         renews_until_s: dict[str, float] = {}
         if newest is None:
@@ -77,6 +83,8 @@
             renews_until_s = _renews_until_s(stored, past, own_name, timing, now_s)
         if begins_era:
             renews_until_s[UNKNOWN_GRANTER] = now_s + timing.renew_without_store_s
+        if not witnessed:
+            renews_until_s[UNKNOWN_OWNERS] = now_s + timing.renew_without_store_s + timing.max_ttl_s
         remaining_s = {
             name: until_s - now_s for name, until_s in renews_until_s.items() if until_s > now_s
         }
@@ -86,6 +94,27 @@
         await asyncio.sleep(CONFLICT_DELAY_S)
 
 
+async def wait_for_unknown_owners(
+    start: TermStart, session: Session, record: ShardMapRecord
+) -> None:
+    """Wait while a server that the map does not name may own any key; raises GrantingLostError.
+
+    That is so where the store has forgotten the last owners and no daemon is left that knew them.
+    """
+    wait_s = start.owners_known_from_s - session.now_s
+    if wait_s <= 0:
+        return
+    session.log.warning(
+        "no keys granted yet",
+        service=record.service,
+        why="the store may have forgotten their owners, and no daemon knows them",
+        wait_ms=round(1000 * wait_s),
+    )
+    await asyncio.sleep(wait_s)
+    # The process may have stood still, and another daemon may grant by now.
+    await record.confirm(start.shard_map.term)
+
+
 def _renews_until_s(
     stored: ShardMap | None,
     past: PastGranters | None,
@@ -114,16 +143,31 @@
 
 
 async def _newest_map(
-    service: str, stored: ShardMap | None, session: Session, peers: PeerMessenger
-) -> ShardMap | None:
-    """Return the stored map with all newer assignments that a daemon in touch knows."""
+    record: ShardMapRecord, stored: ShardMap | None, session: Session, peers: PeerMessenger
+) -> tuple[ShardMap | None, bool]:
+    """Return the stored map with all newer assignments that a daemon in touch knows.
+
+    Also return whether such a daemon has known the last of them. A copy without a map counts as
+    whole: the service may never have been granted before.
+    """
+    service, era = record.service, record.era
+    assert era is not None
     known = session.shard_maps.get(service)
     maps = [shard_map for shard_map in (stored, known) if shard_map is not None]
     newest = max(maps, key=lambda m: (m.term, m.next_fence), default=None)
-    newer = await peers.request_assignments(service, 0 if newest is None else newest.next_fence)
+    min_fence = 0 if newest is None else newest.next_fence
+    newer = await peers.request_assignments(service, min_fence, era)
+    witnessed = (
+        stored is None
+        or newer.witnessed
+        or (
+            known is not None and session.era_knowledge.covers_time_before(era, session.store_age_s)
+        )
+    )
+    assignments = newer.in_order
     if newest is None:
-        if not newer:
-            return None
+        if not assignments:
+            return None, witnessed
         nobody = Assignment(0, KEY_COUNT - 1, 0, None)
         newest = ShardMap(service, "", 0, 1, (nobody,))
-    return newest.merge_newer(newer)
+    return newest.merge_newer(assignments), witnessed
--- a/libs/gateway/src/fuchsiawell/gateway/session/state.py
+++ b/libs/gateway/src/fuchsiawell/gateway/session/state.py
@@ -31,6 +31,7 @@
     record_cold_entry,
     warm_spread_s,
 )
+from fuchsiawell.gateway.session.era_knowledge import EraKnowledge
 from fuchsiawell.gateway.session.metrics import Metrics
 from fuchsiawell.gateway.session.peer import Peer
 from fuchsiawell.gateway.session.range_blocks import RangeBlocks
@@ -113,6 +114,7 @@
         # Monotonic time until which this daemon knows all changes of the store, as far as it can
         # tell; its start until it knows any.
         self.current_until_s = clock.monotonic()
+        self.era_knowledge = EraKnowledge()
         self.latency_estimates = LatencyEstimates()
         self.response_sizes = ResponseSizes()
         self.outlier_detector = OutlierDetector()
--- a/libs/gateway/tests/message_samples.py
+++ b/libs/gateway/tests/message_samples.py
@@ -59,6 +59,8 @@
     "total paces": paces.TotalPaceReport({7: (150, 40)}),
     "map request": messages.MapRequest("s", 8),
     "map reply": messages.MapReply("s", list(ASSIGNMENTS)),
+    "witness request": messages.WitnessRequest("s", 3, 8),
+    "witness reply": messages.WitnessReply("s", 2),
 }
 FRAMES: dict[str, frames.Frame] = {
     "follow": frames.Follow("d-1", 12),
--- a/libs/gateway/tests/test_recollection.py
+++ b/libs/gateway/tests/test_recollection.py
@@ -116,6 +116,36 @@
     run_site(monkeypatch, scenario)
 
 
+# Guards against requests for servers that leave or are gone and into zones that are evacuated, at a
+# daemon that starts with a copy that is older than that.
+def test_started_daemon_learns_of_servers_and_zones_from_others(monkeypatch: Any) -> None:
+    async def scenario(site: StoreSite) -> None:
+        site.store.era = 1
+        for number in range(5):
+            site.store.put(f"servers/i-{number}", b"good")
+        site.store.put(DAEMONS_PREFIX + "d-2", encode_peer(Peer("d-2", "x", "d-2", 80)))
+        other = site.add("d-2")
+        await site.wait_until(lambda: len(other.session.directory.by_id) == 5)
+        copy = site.store.copy()
+        site.store.put("servers/i-0", b"leaving")
+        site.store.remove("servers/i-1")
+        site.store.put("evacuate/b", b"")
+        await asyncio.sleep(1.0)
+        site.store.restore(copy)
+        daemon = site.add("d-1")
+        await site.wait_until(lambda: daemon.version == 1)
+        directory = daemon.session.directory
+        assert directory.by_id["i-0"].draining
+        assert "i-1" not in directory.by_id
+        assert set(directory.by_id) == {"i-0", "i-2", "i-3", "i-4"}
+        assert "b" in daemon.session.evacuated_zones
+        # What the others know of the time since is as old as it is there.
+        (leaving_s,) = daemon.session.leaving_servers.since_s_by_incarnation().values()
+        assert 0.5 < site.clock.monotonic() - leaving_s < 2.0
+
+    run_site(monkeypatch, scenario)
+
+
 # Guards against questions to others, and the time that they take, where no store can forget.
 def test_daemon_asks_nobody_if_the_store_names_no_era(monkeypatch: Any) -> None:
     async def scenario(site: StoreSite) -> None:
--- a/libs/gateway/tests/test_releases.py
+++ b/libs/gateway/tests/test_releases.py
@@ -32,6 +32,7 @@
 NEWEST_RELEASE = "873f0cf"
 # Kinds that this release writes and the newest one with golden data does not know.
 ADDED_KINDS: dict[str, set[str]] = {
+    "messages": {"witness request", "witness reply"},
     "frames": {"recall", "recalled"},
 }
 
--- a/libs/gateway/tests/test_take_over.py
+++ b/libs/gateway/tests/test_take_over.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fuchsiawell.gateway.control.map_messages import NewerAssignments
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.control.shard_map_record import ShardMapRecord
 from fuchsiawell.gateway.control.store_keys import PAST_GRANTERS_PREFIX, SHARDS_PREFIX
@@ -16,6 +17,7 @@
 from fuchsiawell.shards import (
     KEY_COUNT,
     UNKNOWN_GRANTER,
+    UNKNOWN_OWNERS,
     Assignment,
     GrantTiming,
     Owner,
@@ -200,11 +202,92 @@
     run(scenario)
 
 
+LONGEST_S = TIMING.renew_without_store_s + TIMING.max_ttl_s
+
+
+def _know_since(site: Site, era: int, *names: str) -> None:
+    """Let daemons know the store, and the owners that it has, since an era."""
+    for name in names:
+        site.sessions[name].era_knowledge.record_listing(era, 0.0)
+        site.sessions[name].apply_shard_map(_map("d-2", 1, (1, FIRST), (2, FIRST)), "test")
+
+
+# Guards against keys with two owners (OWNER): the owners of a copy were granted their keys by a
+# daemon that had started after the drill, and nobody was left who knew of moves since.
+def test_copy_that_nobody_can_vouch_for_is_not_granted_while_its_owners_are_unknown() -> None:
+    async def scenario(site: Site) -> None:
+        site.store.era = 2
+        site.put(_map("d-2", 1, (1, FIRST), (2, FIRST)))
+        _know_since(site, 2, "d-1", "d-2", "d-3")
+        waits_s = site.waits_s(await site.take_over())
+        assert waits_s[UNKNOWN_OWNERS] == pytest.approx(LONGEST_S)
+        assert site.recorded()[UNKNOWN_OWNERS] == pytest.approx(LONGEST_S, abs=0.001)
+        # Whoever follows this granter waits for the rest, though the map is of this era.
+        site.put(
+            decode_map(site.store.items[MAP_KEY].value or b""),
+            PastGranters(decode_map(site.store.items[MAP_KEY].value or b"").term, {"?": 4.0}),
+        )
+        assert site.waits_s(await site.take_over())[UNKNOWN_OWNERS] == 4.0
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("witness", ["d-1", "d-3"])
+def test_copy_is_granted_at_once_if_a_daemon_knows_the_owners_of_before(witness: str) -> None:
+    async def scenario(site: Site) -> None:
+        site.store.era = 2
+        site.put(_map("d-2", 1, (1, FIRST), (2, FIRST)))
+        _know_since(site, 2, *{"d-1", "d-2", "d-3"} - {witness})
+        _know_since(site, 1, witness)
+        assert UNKNOWN_OWNERS not in site.waits_s(await site.take_over())
+
+    run(scenario)
+
+
+# A daemon that had no contact for long before the drill may have missed the last moves.
+def test_daemon_that_was_cut_off_before_the_era_vouches_for_nothing() -> None:
+    async def scenario(site: Site) -> None:
+        site.store.era = 2
+        site.put(_map("d-2", 1, (1, FIRST), (2, FIRST)))
+        _know_since(site, 1, "d-3")
+        site.sessions["d-3"].current_until_s -= TIMING.renew_without_store_s
+        assert UNKNOWN_OWNERS in site.waits_s(await site.take_over())
+        # The same once it has listed the store anew.
+        knowledge = site.sessions["d-3"].era_knowledge
+        knowledge.record_listing(2, TIMING.renew_without_store_s)
+        assert not knowledge.covers_time_before(2, 0.0)
+
+    run(scenario)
+
+
+# Datagrams may be lost: assignments that have not arrived may be those that the copy lacks.
+def test_daemon_whose_assignments_are_lost_vouches_for_nothing() -> None:
+    newer = _map("d-2", 1, (11, FIRST), (12, SECOND))
+    replies = NewerAssignments()
+    replies.add_witness("d-3", 2)
+    assert not replies.witnessed
+    replies.add("d-3", list(newer.assignments[:1]))
+    replies.add("d-3", list(newer.assignments[:1]))
+    assert not replies.witnessed
+    replies.add("d-3", list(newer.assignments[1:]))
+    assert replies.witnessed
+    assert replies.in_order == list(newer.assignments)
+
+
+# A daemon of 873f0cf sends assignments without a word on since when it has known the store.
+def test_daemon_of_an_earlier_release_vouches_by_newer_assignments() -> None:
+    replies = NewerAssignments()
+    replies.add("d-3", [])
+    assert not replies.witnessed
+    replies.add("d-3", list(_map("d-2", 1, (11, FIRST)).assignments))
+    assert replies.witnessed
+
+
 async def test_daemon_without_a_map_does_not_reply() -> None:
     site = Site()
-    assert await site.messengers["d-1"].request_assignments("s", 0) == []
+    assert (await site.messengers["d-1"].request_assignments("s", 0, 2)).in_order == []
     site.sessions["d-1"].peers_by_name.clear()
     sent = site.datagrams.sent
-    assert await site.messengers["d-1"].request_assignments("s", 0) == []
+    assert (await site.messengers["d-1"].request_assignments("s", 0, 2)).in_order == []
     assert site.datagrams.sent == sent
     await asyncio.sleep(0)
--- a/libs/shards/src/fuchsiawell/shards/__init__.py
+++ b/libs/shards/src/fuchsiawell/shards/__init__.py
@@ -8,6 +8,7 @@
 from fuchsiawell.shards.latency_factors import LatencyFactors
 from fuchsiawell.shards.past_granters import (
     UNKNOWN_GRANTER,
+    UNKNOWN_OWNERS,
     PastGranters,
     decode_past_granters,
     encode_past_granters,
@@ -26,6 +27,7 @@
 __all__ = [
     "KEY_COUNT",
     "UNKNOWN_GRANTER",
+    "UNKNOWN_OWNERS",
     "Assignment",
     "GrantExpiryTracker",
     "GrantTiming",
--- a/libs/shards/src/fuchsiawell/shards/past_granters.py
+++ b/libs/shards/src/fuchsiawell/shards/past_granters.py
@@ -11,11 +11,20 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["UNKNOWN_GRANTER", "PastGranters", "decode_past_granters", "encode_past_granters"]
+__all__ = [
+    "UNKNOWN_GRANTER",
+    "UNKNOWN_OWNERS",
+    "PastGranters",
+    "decode_past_granters",
+    "encode_past_granters",
+]
 
 FORMAT_VERSION = 1
 # Stands for granters whose names are lost; no report shows that all of them have stopped.
 UNKNOWN_GRANTER = ""
+# Stands for grants to owners that no map names; a daemon of an earlier release takes it for the
+# name of a granter.
+UNKNOWN_OWNERS = "?"
 MAX_TERM = 2**62
 MAX_REMAINING_MS = 10**6
 MAX_NAMES = 4096
