Ask other daemons a second time, and take no record that came too late

A daemon that takes over 0.3 s to answer, or that has just started itself, counted as one that knows nothing, for good; others are asked once more a second later. Removals are not learned then: the servers may have written their entries again since the listing, and would be away until they write the next time. And a record that arrives after the operator has written a newer version replaced that one.

--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -67,13 +67,11 @@
                     peers.append(decode_peer(item.key, item.value))
         return peers
 
-    def expect_version(self, version: int) -> bool:
-        """Take no configuration below a version that others have; return whether it is newer."""
+    def expect_version(self, version: int) -> None:
+        """Take no configuration of the store below a version that others have."""
         known = self._session.configuration
-        if known is not None and known.version >= version:
-            return False
-        self._forgotten_version = version
-        return version > 0
+        if version > (0 if known is None else known.version):
+            self._forgotten_version = version
 
     def stop_expecting(self) -> None:
         """Take the configuration of the store, if there is no other."""
@@ -82,13 +80,21 @@
             self._forgotten_version = None
             self._take_configuration(record)
 
-    def recall_servers(self, answer: Recalled, source: str) -> None:
-        """Apply what another daemon knows of servers and zones."""
+    def recall_leaving(self, answer: Recalled, source: str) -> None:
+        """Apply what another daemon knows of servers that leave."""
         session = self._session
         now_s = session.now_s
         for incarnation_id, age_ms in answer.leaving_ms.items():
             backend_id = incarnation_id.rpartition("/")[0]
             session.record_leaving(backend_id, incarnation_id, source, now_s - age_ms / 1000)
+
+    def recall_removed(self, answer: Recalled, source: str) -> None:
+        """Apply what another daemon knows of removed servers and evacuated zones.
+
+        The items of the store must be applied afterwards.
+        """
+        session = self._session
+        now_s = session.now_s
         for incarnation_id, age_ms in answer.removed_ms.items():
             if session.directory.record_removed(incarnation_id, now_s - age_ms / 1000):
                 session.log.event(
--- a/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
@@ -27,6 +27,8 @@
 MAX_ASKED = 12
 # A daemon that starts serves no request before this time if nobody responds.
 ASK_TIMEOUT_S = 0.3
+# They are asked once more after this time.
+ASK_AGAIN_S = 1.0
 # A configuration may be large and a link slow.
 FETCH_TIMEOUT_S = 2.0
 # Servers, and zones, that are named in an answer, and the longest time for which they are known.
@@ -41,12 +43,11 @@
     def __init__(self, session: Session, items: ItemApplier) -> None:
         self._session = session
         self._items = items
-        self._fetch: asyncio.Task[None] | None = None
+        self._later: asyncio.Task[None] | None = None
 
     def answer(self, request: Recall) -> Recalled:
         """Return what another daemon asks for."""
-        session, now_s = self._session, self._session.now_s
-        version = 0 if session.configuration is None else session.configuration.version
+        session, now_s, version = self._session, self._session.now_s, self._version
         return Recalled(
             version,
             self._items.configuration_record if version > request.version else None,
@@ -58,22 +59,39 @@
     async def recall(self, items: Sequence[Item]) -> None:
         """Learn from others what is missing among the items of the store, before these are applied.
 
-        A newer configuration may take longer, as it may be large.
+        A newer configuration may take longer, as it may be large. Others are asked once more later:
+        they may have been slow, or may just have started themselves.
         """
         listed = {peer.name: peer for peer in self._items.peers_among(items)}
         answers = await self._ask({**listed, **self._session.peers_by_name}.values())
         for peer, answer in answers.items():
-            self._items.recall_servers(answer, peer.name)
-        newest = max((answer.version for answer in answers.values()), default=0)
-        if self._items.expect_version(newest):
-            self.close()
-            fetching = self._fetch_configuration(answers)
-            self._fetch = asyncio.get_running_loop().create_task(fetching)
+            self._items.recall_leaving(answer, peer.name)
+            self._items.recall_removed(answer, peer.name)
+        self._expect_newest(answers)
+        self.close()
+        self._later = asyncio.get_running_loop().create_task(self._recall_later(answers))
 
     def close(self) -> None:
-        """Stop waiting for a configuration."""
-        if self._fetch is not None:
-            self._fetch.cancel()
+        """Stop asking."""
+        if self._later is not None:
+            self._later.cancel()
+
+    async def _recall_later(self, answers: Mapping[Peer, Recalled]) -> None:
+        """Fetch the newest configuration, and ask once more.
+
+        Removals are not learned then, as the servers may have written their entries again.
+        """
+        await self._fetch_configuration(answers)
+        await asyncio.sleep(ASK_AGAIN_S)
+        answers = await self._ask(self._session.peers_by_name.values())
+        for peer, answer in answers.items():
+            self._items.recall_leaving(answer, peer.name)
+        self._expect_newest(answers)
+        await self._fetch_configuration(answers)
+
+    def _expect_newest(self, answers: Mapping[Peer, Recalled]) -> None:
+        versions = [answer.version for answer in answers.values()]
+        self._items.expect_version(max(versions, default=0))
 
     async def _ask(self, peers: Collection[Peer]) -> dict[Peer, Recalled]:
         """Return what some of the daemons know, without records of configurations."""
@@ -96,15 +114,19 @@
         """Apply the newest configuration of those who have answered."""
         by_version = sorted(answers, key=lambda peer: (-answers[peer].version, peer.name))
         for peer in by_version:
-            configuration = self._session.configuration
-            version = 0 if configuration is None else configuration.version
-            if answers[peer].version <= version:
+            if answers[peer].version <= self._version:
                 break
-            answer = await self._call(peer, version, FETCH_TIMEOUT_S)
-            if answer is not None and answer.configuration is not None:
+            answer = await self._call(peer, self._version, FETCH_TIMEOUT_S)
+            # The store may have had a newer one meanwhile.
+            if answer is not None and answer.configuration and answer.version > self._version:
                 self._items.recall_configuration(answer.configuration, peer.name)
         self._items.stop_expecting()
 
+    @property
+    def _version(self) -> int:
+        configuration = self._session.configuration
+        return 0 if configuration is None else configuration.version
+
     async def _call(self, peer: Peer, version: int, timeout_s: float) -> Recalled | None:
         """Ask a daemon; return None if it does not respond in time or cannot tell."""
         session, channel = self._session, None
