--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from fuchsiawell.gateway.control.configuration_updates import ConfigurationUpdates
 from fuchsiawell.gateway.control.evacuations import Evacuations
 from fuchsiawell.gateway.control.store_keys import (
     DAEMONS_PREFIX,
@@ -29,8 +30,6 @@
 # An entry that is in the store for this time is renewed by its server: entries last three
 # heartbeats (up to 4.5 s), and the news of a removal takes a second.
 RENEWAL_PROOF_S = 6.0
-# Unusable parts of one configuration that are logged.
-MAX_LOGGED_PROBLEMS = 10
 
 
 class ItemApplier:
@@ -41,18 +40,13 @@
         self._records = records
         # Revision of each key that was applied last.
         self._revision_by_key: dict[str, int] = {}
-        # The record of the configuration in force.
-        self.configuration_record: bytes | None = None
-        # While the store may hold an older version than this one, which it has forgotten.
-        self._forgotten_version: int | None = None
-        # A record that was not taken for that reason.
-        self._older_record: bytes | None = None
         self._lists_copy = False
         # Entries of a copy whose servers had been removed, and until when they are not used.
         self._held_by_key: dict[str, tuple[Backend, float]] = {}
         # Where the changes being applied came from, the store or the name of a hub, and the time
         # until then since the last contact.
         self.source, self.unconfirmed_s = STORE_SOURCE, 0.0
+        self.configurations = ConfigurationUpdates(session, records)
         self.evacuations = Evacuations(session, records.evacuations_prefix)
         self.on_granter_update: Callable[[], None] | None = None
 
@@ -67,19 +61,6 @@
                     peers.append(decode_peer(item.key, item.value))
         return peers
 
-    def expect_version(self, version: int) -> None:
-        """Take no configuration of the store below a version that others have."""
-        known = self._session.configuration
-        if version > (0 if known is None else known.version):
-            self._forgotten_version = version
-
-    def stop_expecting(self) -> None:
-        """Take the configuration of the store, if there is no other."""
-        record, self._older_record = self._older_record, None
-        if record is not None and self._session.configuration is None:
-            self._forgotten_version = None
-            self._take_configuration(record)
-
     def recall_leaving(self, answer: Recalled, source: str) -> None:
         """Apply what another daemon knows of servers that leave."""
         session = self._session
@@ -112,17 +93,8 @@
             self._session.log.event("entry of a removed server taken", server=backend.id)
             self._session.update_backend(backend)
 
-    def recall_configuration(self, record: bytes, source: str) -> None:
-        """Apply a configuration that another daemon has and the store may have forgotten."""
-        store_source, self.source = self.source, source
-        self._take_configuration(record)
-        self.source = store_source
-        if self.configuration_record == record and self._session.configuration is not None:
-            # The operator may write again all versions that the store has forgotten, in turn.
-            self._forgotten_version = self._session.configuration.version
-
-    def apply_first(self, items: Sequence[Item]) -> None:
-        """Apply all items of a store that may have come back from an older copy."""
+    def apply_possible_copy(self, items: Sequence[Item]) -> None:
+        """Apply the first listing of a store that may have come back from an older copy before."""
         self._lists_copy = True
         try:
             self.apply_listing(items)
@@ -137,12 +109,10 @@
         """
         session = self._session
         self._revision_by_key.clear()
-        if session.configuration is not None:
-            known_version = session.configuration.version
-            self._forgotten_version = max(known_version, self._forgotten_version or 0)
+        self.configurations.expect_version_in_force()
         session.directory.on_store_unavailable(session.now_s)
         session.directory.on_store_available(session.now_s)
-        self.apply_first(items)
+        self.apply_possible_copy(items)
 
     def apply_listing(self, items: Sequence[Item]) -> None:
         """Apply all items of the store, and remove what is not among them."""
@@ -200,7 +170,8 @@
         if key.startswith(SHARDS_PREFIX):
             return self._apply_map(item)
         if key == self._records.configuration_key:
-            self._apply_configuration(item)
+            if item.value is not None:
+                self.configurations.apply(item.value, self.source, self.unconfirmed_s)
         elif key.startswith(self._records.backends_prefix):
             self._apply_backend(item)
         elif key.startswith(self._records.evacuations_prefix):
@@ -211,46 +182,6 @@
             self._set_granter(None if item.value is None else item.value.decode())
         return True
 
-    def _apply_configuration(self, item: Item) -> None:
-        if item.value is not None:
-            self._take_configuration(item.value)
-
-    def _take_configuration(self, record: bytes) -> None:
-        session = self._session
-        try:
-            configuration = self._records.decode_configuration(record)
-        except ValueError as error:
-            session.log.warning(
-                "configuration unreadable, keeping the current one", reason=str(error)
-            )
-            return
-        if self._forgotten_version is not None:
-            if configuration.version < self._forgotten_version:
-                session.log.warning(
-                    "older configuration of the store's copy not taken",
-                    version=configuration.version,
-                    known=self._forgotten_version,
-                )
-                self._older_record = record
-                return
-            self._forgotten_version = self._older_record = None
-        session.configuration, self.configuration_record = configuration, record
-        if configuration.problems:
-            session.log.warning(
-                "configuration unusual, parts left out or replaced by defaults",
-                version=configuration.version,
-                count=len(configuration.problems),
-                reasons=configuration.problems[:MAX_LOGGED_PROBLEMS],
-            )
-        session.log.event(
-            "configuration taken",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            source=self.source,
-            unconfirmed_ms=round(self.unconfirmed_s * 1000),
-        )
-        session.wake()
-
     def _apply_backend(self, item: Item) -> None:
         backend_id = item.key.removeprefix(self._records.backends_prefix)
         self._held_by_key.pop(item.key, None)
--- a/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/recollection.py
@@ -47,10 +47,12 @@
 
     def answer(self, request: Recall) -> Recalled:
         """Return what another daemon asks for."""
-        session, now_s, version = self._session, self._session.now_s, self._version
+        session, now_s = self._session, self._session.now_s
+        configurations = self._items.configurations
+        version = configurations.version
         return Recalled(
             version,
-            self._items.configuration_record if version > request.version else None,
+            configurations.record if version > request.version else None,
             _ages_ms(session.leaving_servers.since_s_by_incarnation(), now_s),
             _ages_ms(session.directory.removed, now_s),
             _ages_ms(session.evacuated_zones, now_s),
@@ -91,7 +93,7 @@
 
     def _expect_newest(self, answers: Mapping[Peer, Recalled]) -> None:
         versions = [answer.version for answer in answers.values()]
-        self._items.expect_version(max(versions, default=0))
+        self._items.configurations.expect_version(max(versions, default=0))
 
     async def _ask(self, peers: Collection[Peer]) -> dict[Peer, Recalled]:
         """Return what some of the daemons know, without records of configurations."""
@@ -112,20 +114,20 @@
 
     async def _fetch_configuration(self, answers: Mapping[Peer, Recalled]) -> None:
         """Apply the newest configuration of those who have answered."""
+        configurations = self._items.configurations
         by_version = sorted(answers, key=lambda peer: (-answers[peer].version, peer.name))
         for peer in by_version:
-            if answers[peer].version <= self._version:
+            if answers[peer].version <= configurations.version:
                 break
-            answer = await self._call(peer, self._version, FETCH_TIMEOUT_S)
+            answer = await self._call(peer, configurations.version, FETCH_TIMEOUT_S)
             # The store may have had a newer one meanwhile.
-            if answer is not None and answer.configuration and answer.version > self._version:
-                self._items.recall_configuration(answer.configuration, peer.name)
-        self._items.stop_expecting()
-
-    @property
-    def _version(self) -> int:
-        configuration = self._session.configuration
-        return 0 if configuration is None else configuration.version
+            if (
+                answer is not None
+                and answer.configuration is not None
+                and answer.version > configurations.version
+            ):
+                configurations.recall(answer.configuration, peer.name)
+        configurations.stop_expecting()
 
     async def _call(self, peer: Peer, version: int, timeout_s: float) -> Recalled | None:
         """Ask a daemon; return None if it does not respond in time or cannot tell."""
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_watcher.py
@@ -153,7 +153,7 @@
         elif self._last_listed is None and self._era is not None:
             # How long ago the store came back from a copy, if ever, is not known.
             await self._recollection.recall(listing.items)
-            self._items.apply_first(listing.items)
+            self._items.apply_possible_copy(listing.items)
         else:
             self._items.apply_listing(listing.items)
         if self._source is not None:
--- a/libs/gateway/tests/test_recollection.py
+++ b/libs/gateway/tests/test_recollection.py
@@ -44,10 +44,10 @@
 # those that the store has forgotten.
 def test_versions_written_again_in_turn_do_not_replace_a_recalled_one() -> None:
     applier = _applier()
-    applier.expect_version(8)
-    applier.apply_first([Item("config", b"4", 3)])
+    applier.configurations.expect_version(8)
+    applier.apply_possible_copy([Item("config", b"4", 3)])
     assert _version(applier) == 0
-    applier.recall_configuration(b"8", "d-2")
+    applier.configurations.recall(b"8", "d-2")
     for revision, version in enumerate((5, 6, 7, 8, 9), start=4):
         applier.apply(Item("config", b"%d" % version, revision))
         assert _version(applier) == max(8, version)
@@ -55,10 +55,10 @@
 
 def test_unusable_recalled_record_leaves_the_configuration_of_the_copy() -> None:
     applier = _applier()
-    applier.expect_version(8)
-    applier.apply_first([Item("config", b"4", 3)])
-    applier.recall_configuration(b"no number", "d-2")
-    applier.stop_expecting()
+    applier.configurations.expect_version(8)
+    applier.apply_possible_copy([Item("config", b"4", 3)])
+    applier.configurations.recall(b"no number", "d-2")
+    applier.configurations.stop_expecting()
     assert _version(applier) == 4
 
 
@@ -66,8 +66,8 @@
     for known_version, expected in ((8, 8), (8, 0), (0, 0)):
         applier = _applier()
         if known_version:
-            applier.apply_first([Item("config", b"%d" % known_version, 3)])
-        applier.expect_version(expected)
+            applier.apply_possible_copy([Item("config", b"%d" % known_version, 3)])
+        applier.configurations.expect_version(expected)
         applier.apply(Item("config", b"9", 4))
         assert _version(applier) == 9
 
@@ -163,7 +163,7 @@
         site.store.restore(copy)
         daemon = site.add("d-1")
         await asyncio.sleep(0)
-        other.watcher._items.configuration_record = None
+        other.watcher._items.configurations.record = None
         age_s = await site.age_until(lambda: daemon.version == 1, site.clock.monotonic())
         assert age_s < START_S + FETCH_S
         site.configure(6)
