Check the first owners after a copy of the store in the model

Cause: the model had no daemon that vouches for a map.

Change: a third specification, restored owners. A moves the keys in the time that the store forgets and lives, is killed, or is cut off and renews; G asks A and W, whose datagrams may be lost one by one; H follows G. Five rules are mutants.

Faults that the limits show. Not tried, by reading: a granter that is asked in the up to 0.25 s between the write of a move and the answers to its grants replies by the map before. None is mended here.

--- a/libs/model/src/fuchsiawell/model/catalog.py
+++ b/libs/model/src/fuchsiawell/model/catalog.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.model.granting import FENCES_INCREASE, SINGLE_OWNER, GrantRules, grant_spec
+from fuchsiawell.model.restored_owners import RestoredRules, restored_owners_spec
 from fuchsiawell.model.series import NEW_FENCES, ONE_OWNER, SeriesRules, series_spec
 
 if TYPE_CHECKING:
@@ -25,7 +26,12 @@
 
 RULES = GrantRules()
 SERIES_RULES = SeriesRules()
-SPECS: tuple[Spec, ...] = (grant_spec(RULES), series_spec(SERIES_RULES))
+RESTORED_RULES = RestoredRules()
+SPECS: tuple[Spec, ...] = (
+    grant_spec(RULES),
+    series_spec(SERIES_RULES),
+    restored_owners_spec(RESTORED_RULES),
+)
 
 
 def _variant(name: str, rules: GrantRules, property: str = SINGLE_OWNER) -> Variant:
@@ -36,6 +42,10 @@
     return Variant(name, series_spec(rules), property)
 
 
+def _restored_variant(name: str, rules: RestoredRules) -> Variant:
+    return Variant(name, restored_owners_spec(rules), SINGLE_OWNER)
+
+
 MUTANTS: tuple[Variant, ...] = (
     _variant("takeover with the old fences", replace(RULES, new_fence_at_takeover=False)),
     _variant("successor does not wait", replace(RULES, waits_for_predecessor=False)),
@@ -78,8 +88,45 @@
     ),
     _series_variant("lease renewed across eras", replace(SERIES_RULES, lease_by_era=False)),
     _series_variant("write carried out across eras", replace(SERIES_RULES, write_by_era=False)),
+    _restored_variant(
+        "no wait without a witness", replace(RESTORED_RULES, waits_without_witness=False)
+    ),
+    _restored_variant(
+        "witness whose assignments have not arrived",
+        replace(RESTORED_RULES, counts_assignments=False),
+    ),
+    _restored_variant(
+        "witness that started in the new era",
+        replace(RESTORED_RULES, witness_started_before=False),
+    ),
+    _restored_variant(
+        "successor does not know of the wait", replace(RESTORED_RULES, records_wait=False)
+    ),
+    _restored_variant(
+        "witness that was cut off from the store",
+        replace(RESTORED_RULES, witness_was_in_touch=False),
+    ),
 )
 
 LIMITS: tuple[Variant, ...] = (
     _variant("a server that does not check fences", replace(RULES, checks_fence=False)),
+    _restored_variant(
+        "assignments without a count taken for a witness's",
+        replace(RESTORED_RULES, witness_names_count=False),
+    ),
+    _restored_variant(
+        "witness that has not heard of the last move yet",
+        replace(RESTORED_RULES, watchers_hear_of_moves=False),
+    ),
+    _restored_variant(
+        "witness cut off from the store for a shorter time",
+        replace(RESTORED_RULES, others_hear_of_moves=False),
+    ),
+    _restored_variant(
+        "granter asked before it has taken its new map",
+        replace(RESTORED_RULES, granter_knows_own_moves=False),
+    ),
+    _restored_variant(
+        "store restored again during the wait", replace(RESTORED_RULES, restored_once=False)
+    ),
 )
