Count a connection as idle from its response on, not from when a client has read it

What callers saw: a request that may run once can get 502 ("connection closed" by the server before the response) where a fresh connection would have served it.

Cause: the pool counted a connection to a server as idle from its release. A response that is passed on, because it is long or because memory is short, was released when the client had taken it; its server had sent the last byte long before, to the kernel's buffers, and its idle timeout ran since then. Such a connection is then used while its server closes it; it is not known whether the request ran, so that it must not be repeated. The same for connections to other daemons.

Ruled out by reading: a loop that stands still (the server reads once more before it closes), TCP_USER_TIMEOUT (0 while a long body is sent), deadlines of the daemon (504), connects that fail (503).

Change: the time of the response head goes with the connection to the pool. A connection that is too old is closed on release. One that is handed back unused, as its server rests, keeps its time.

--- a/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/server_reach.py
@@ -256,7 +256,7 @@
             self._overload_possible = True
             return self._record_failure(backend, "closed at once")
         session.reachability.record_connected(backend.id, session.now_s)
-        self._pool.release(backend.incarnation_id, connection)
+        self._pool.release(backend.incarnation_id, connection, session.now_s)
         return True
 
     def _record_failure(self, backend: Backend, reason: str) -> bool:
--- a/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/backend_client.py
@@ -141,7 +141,7 @@
             )
         if self._rest_tracker.is_resting(target.incarnation_id):
             # The server has named the rest while the connection was being opened.
-            self._pool.release(target.incarnation_id, connection)
+            self._pool.release(target.incarnation_id, connection, connection.idle_since_s)
             return NotExecuted("rest", target.peer, "server rests", server_rests=True)
         remaining = timedelta(seconds=deadline_s - self._clock.monotonic())
         fields = self._protocol.forwarded_fields(head.fields, remaining, target.backend_id)
@@ -182,11 +182,15 @@
         self._reachability.record_failure(target.backend_id, self._clock.monotonic())
 
     def _return_connection(
-        self, target: Target, connection: ClientConnection, exchange: Exchange
+        self,
+        target: Target,
+        connection: ClientConnection,
+        exchange: Exchange,
+        answered_s: float,
     ) -> None:
         """Release or close a connection after a complete response."""
         if exchange.reusable:
-            self._pool.release(target.incarnation_id, connection)
+            self._pool.release(target.incarnation_id, connection, answered_s)
         else:
             connection.abort()
 
@@ -206,10 +210,11 @@
             return received[0].request_id in (request_id, None)
 
         head = await exchange.read_response_head(matches_request)
+        answered_s = self._clock.monotonic()
         if connection.exchange_count == 1:
-            self._reachability.record_connected(target.backend_id, self._clock.monotonic())
+            self._reachability.record_connected(target.backend_id, answered_s)
         else:
-            self._reachability.record_response(target.backend_id, self._clock.monotonic())
+            self._reachability.record_response(target.backend_id, answered_s)
         metadata = received[0]
         if metadata.request_id is None and connection.exchange_count > 1:
             raise InvalidResponseError("response without a request id on a reused connection")
@@ -228,11 +233,11 @@
             connection.exclude(request_id)
         if failure is not None:
             if await drain(exchange):
-                self._return_connection(target, connection, exchange)
+                self._return_connection(target, connection, exchange, answered_s)
             else:
                 connection.abort()
             return failure
-        release = partial(self._return_connection, target, connection, exchange)
+        release = partial(self._return_connection, target, connection, exchange, answered_s)
         return await read_response(head, exchange, connection, release, holding)
 
 
--- a/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/connection_pool.py
@@ -70,9 +70,7 @@
             if request_id is not None and idle[number].excludes(request_id):
                 continue
             connection = idle.pop(number)
-            max_idle_s = (
-                connection.idle_timeout_s or DEFAULT_MAX_IDLE_S / IDLE_FRACTION
-            ) * IDLE_FRACTION
+            max_idle_s = _max_idle_s(connection)
             if require_fresh:
                 max_idle_s = min(max_idle_s, FRESH_MAX_IDLE_S)
             if connection.usable and now_s - connection.idle_since_s < max_idle_s:
@@ -81,18 +79,31 @@
         self.opened += 1
         connection = await connect(host, port, timeout_s)
         connection.channel.meter = self._meter
+        connection.idle_since_s = self._clock.monotonic()
         return connection
 
-    def release(self, incarnation_id: str, connection: ClientConnection) -> None:
-        """Return a connection to the pool, or close it if it is unusable or the pool is full."""
+    def release(
+        self, incarnation_id: str, connection: ClientConnection, idle_since_s: float
+    ) -> None:
+        """Return a connection to the pool, or close it if it is unusable or the pool is full.
+
+        `idle_since_s` is the earliest time, in monotonic seconds, from which on the server may have
+        counted it as idle: that of the response, which a slow client may take long to read.
+        """
         idle = self._idle.setdefault(incarnation_id, [])
         is_full = len(idle) >= self._max_idle_now or (
             self._max_idle is not None and self.idle_count >= self._max_idle
         )
-        if not connection.usable or is_full or connection.excluded_count >= MAX_EXCLUDED_IDS:
+        is_stale = self._clock.monotonic() - idle_since_s >= _max_idle_s(connection)
+        if (
+            not connection.usable
+            or is_full
+            or is_stale
+            or connection.excluded_count >= MAX_EXCLUDED_IDS
+        ):
             connection.close()
             return
-        connection.idle_since_s = self._clock.monotonic()
+        connection.idle_since_s = idle_since_s
         idle.append(connection)
 
     def has_idle(self, incarnation_id: str) -> bool:
@@ -129,10 +140,8 @@
                 continue
             usable = []
             for connection in self._idle[incarnation_id]:
-                max_idle_s = (
-                    connection.idle_timeout_s or DEFAULT_MAX_IDLE_S / IDLE_FRACTION
-                ) * IDLE_FRACTION
-                if connection.usable and now_s - connection.idle_since_s < max_idle_s:
+                idle_s = now_s - connection.idle_since_s
+                if connection.usable and idle_s < _max_idle_s(connection):
                     usable.append(connection)
                 else:
                     connection.close()
@@ -143,3 +152,8 @@
 
     def close(self) -> None:
         self.evict_stale(set())
+
+
+def _max_idle_s(connection: ClientConnection) -> float:
+    """Return the idle time after which no request may use a connection."""
+    return (connection.idle_timeout_s or DEFAULT_MAX_IDLE_S / IDLE_FRACTION) * IDLE_FRACTION
--- a/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
+++ b/libs/gateway/src/fuchsiawell/gateway/execute/relay_client.py
@@ -163,11 +163,12 @@
         holding: Holding,
     ) -> tuple[RelayOutcome, RelayReply]:
         head = await exchange.read_response_head(lambda _: True)
+        answered_s = self._clock.monotonic()
         try:
             reply = decode_reply(head.fields)
         except ValueError as error:
             raise InvalidResponseError(f"status {head.status}, reply invalid: {error}") from error
-        release = partial(self._release, relay_id, connection, exchange)
+        release = partial(self._release, relay_id, connection, exchange, answered_s)
         if reply.answer is RelayAnswer.SERVED:
             response = await read_response(_public(head), exchange, connection, release, holding)
             return response, reply
@@ -182,12 +183,14 @@
         )
         return Refusal(head.status, reply.reason, retry_after), reply
 
-    def _release(self, relay_id: str, connection: ClientConnection, exchange: Exchange) -> None:
+    def _release(
+        self, relay_id: str, connection: ClientConnection, exchange: Exchange, answered_s: float
+    ) -> None:
         """Keep or close a connection after a complete response."""
         if not exchange.reusable:
             connection.abort()
             return
-        self._pool.release(relay_id, connection)
+        self._pool.release(relay_id, connection, answered_s)
         self._schedule_eviction()
 
     def _schedule_eviction(self) -> None:
