Check in the soak that daemons know the routes of each version

Cause: each version of the configuration had one route of its own beside the first three, and clients asked only for those three, which every version and every copy of the store has. A 404 from an older version was never seen.

Change: versions keep the routes of earlier ones. A prober asks running daemons in turn for the newest route past the bound of configuration (2.5 s). A 404 is a violation from a daemon in touch, and from a process that has served that version before, in touch or not. A version that the store lost before its bound, or while no daemon ran through the rollback, counts from its next write. `Faults.add_versions` changes the configuration beside the series of faults (stream seed + 11), so that rollbacks lose some; no other stream changes.

--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -14,6 +14,7 @@
     first_value,
 )
 from fuchsiawell.soak.invariants import RequestResult
+from fuchsiawell.soak.version_audit import NOT_FOUND
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,10 +24,17 @@
     from fuchsiawell.soak.invariants import InvariantChecker
     from fuchsiawell.soak.leaving_audit import LeavingAudit
     from fuchsiawell.soak.recover_audit import RecoverAudit
+    from fuchsiawell.soak.version_audit import VersionAudit
 
 __all__ = ["Clients"]
 
 REQUEST_DEADLINE_S = 3.0
+# Time between two requests for the newest route, each to the next daemon.
+PROBE_INTERVAL_S = 0.1
+# Clients from this number on send these requests.
+FIRST_PROBER = 1_000_000
+# Keys of these requests are this far apart, a prime.
+PROBE_KEY_STEP = 4099
 # (first path segment, method, body size in bytes); a repeated entry is chosen more often.
 REQUEST_KINDS = (
     ("safe", "GET", 0),
@@ -77,6 +85,19 @@
                     daemon = self._daemons[client % len(self._daemons)]
                     requests.create_task(self._send_once(daemon, client))
 
+    async def probe_versions(self, audit: VersionAudit) -> None:
+        """Ask running daemons in turn for the newest route that they must know, until `stop`."""
+        async with asyncio.TaskGroup() as requests:
+            # Connections are kept by client; each of these clients sends one request.
+            for number in itertools.count():
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                if self._stopped:
+                    return
+                daemon = self._daemons[number % len(self._daemons)]
+                version = audit.due_version(asyncio.get_running_loop().time())
+                if version and daemon.running:
+                    requests.create_task(self._probe(daemon, version, number, audit))
+
     def stop(self) -> None:
         """End each client after its current request."""
         self._stopped = True
@@ -84,9 +105,32 @@
     async def send_request(self, daemon: Daemon, key: int, client: int = -1) -> RequestResult:
         """Send one request of a random kind and check its result."""
         kind, method, body_bytes = self._random.choice(REQUEST_KINDS)
+        sent_s = asyncio.get_running_loop().time()
+        result = await self._attempt(daemon, key, client, kind, method, body_bytes)
+        self._invariants.check_result(result)
+        # No client repeats a request: each is a first try.
+        self._recover_audit.record_first_try(daemon.name, sent_s, result.status == 200)
+        late_s = asyncio.get_running_loop().time() - sent_s - REQUEST_DEADLINE_S
+        if late_s > 0:
+            self._invariants.overdue.append((daemon.name, sent_s + REQUEST_DEADLINE_S, late_s))
+        return result
+
+    async def _probe(self, daemon: Daemon, version: int, number: int, audit: VersionAudit) -> None:
+        loop, client = asyncio.get_running_loop(), FIRST_PROBER + number
+        sent_s, key = loop.time(), number * PROBE_KEY_STEP % 65536
+        result = await self._attempt(daemon, key, client, f"v{version}", "GET", 0)
+        self._close_connection(client)
+        audit.record_answer(daemon.name, version, result.status, sent_s, loop.time())
+        if result.status != NOT_FOUND:
+            self._invariants.check_result(result)
+
+    async def _attempt(
+        self, daemon: Daemon, key: int, client: int, kind: str, method: str, body_bytes: int
+    ) -> RequestResult:
+        """Send one request and return what came of it."""
         self._request_count += 1
         request_id = f"q{self._request_count}"
-        idempotent = kind == "safe"
+        idempotent = method == "GET"
         self._invariants.record_sent(request_id, idempotent)
         loop = asyncio.get_running_loop()
         self._leaving_audit.record_sent(request_id, daemon.name, loop.time())
@@ -97,19 +141,11 @@
             (b"shard-key", str(key).encode()),
         ]
         head = RequestHead(method.encode(), f"/{kind}/{key}".encode(), fields)
-        sent_s = asyncio.get_running_loop().time()
         try:
-            result = await self._exchange(daemon, client, head, body_bytes, request_id, idempotent)
+            return await self._exchange(daemon, client, head, body_bytes, request_id, idempotent)
         except (OSError, InvalidResponseError):
             self._close_connection(client)
-            result = RequestResult(request_id, idempotent, 0, None, False, b"")
-        self._invariants.check_result(result)
-        # No client repeats a request: each is a first try.
-        self._recover_audit.record_first_try(daemon.name, sent_s, result.status == 200)
-        late_s = asyncio.get_running_loop().time() - sent_s - REQUEST_DEADLINE_S
-        if late_s > 0:
-            self._invariants.overdue.append((daemon.name, sent_s + REQUEST_DEADLINE_S, late_s))
-        return result
+            return RequestResult(request_id, idempotent, 0, None, False, b"")
 
     async def _send_once(self, daemon: Daemon, client: int) -> None:
         await self.send_request(daemon, self._random.randrange(65536), client)
--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -66,7 +66,7 @@
         if mode == 3:
             proxy.reset_connections()
         duration_s = site.random.uniform(1.0, 5.0)
-        for audit in (site.limit_audit, site.recover_audit, site.evacuation_audit):
+        for audit in (site.limit_audit, site.recover_audit, site.evacuation_audit, site.contact):
             audit.record_disturbance(name, started_s, started_s + duration_s)
         await asyncio.sleep(duration_s)
         proxy.clear_faults()
@@ -77,7 +77,8 @@
         site.store.unavailable = True
         await asyncio.sleep(site.random.uniform(1.0, 5.0))
         site.store.unavailable = False
-        site.evacuation_audit.record_disturbance(None, started_s, site.clock.monotonic())
+        for audit in (site.evacuation_audit, site.contact):
+            audit.record_disturbance(None, started_s, site.clock.monotonic())
 
     async def store_loses_answers(self) -> None:
         """Execute some writes of the store but lose the responses."""
@@ -168,6 +169,17 @@
                 site.evacuation_audit.record_taken_back(zone, site.clock.monotonic())
                 site.store.remove(f"op/evacuate/{zone}")
 
+    async def add_versions(self, random: Random) -> None:
+        """Change the configuration now and then while the store is there, until cancelled.
+
+        Some versions are then known to all, and others to none, when the store comes back from an
+        older copy.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            if not self._site.store.unavailable:
+                self._site.configure()
+
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
         candidates = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
@@ -186,7 +198,7 @@
         daemon.send_signal(signal.SIGKILL)
         await daemon.wait_exit()
         await asyncio.sleep(self._site.random.uniform(0.1, 1.5))
-        await daemon.start()
+        await self._site.start_process(daemon)
 
     async def _terminate_and_restart(self, daemon: Daemon) -> None:
         # Before it is ready, a process may have no SIGTERM handler yet and would be killed by it.
@@ -197,7 +209,7 @@
             self._site.invariants.violations.append(
                 f"{daemon.name} exited with status {status} after SIGTERM"
             )
-        await daemon.start()
+        await self._site.start_process(daemon)
 
     async def _suspend(self, daemon: Daemon) -> None:
         daemon.send_signal(signal.SIGSTOP)
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -48,6 +48,8 @@
     faults: tuple[str, ...]
     # First tries at daemons that were cut off from all servers.
     cuts: tuple[str, ...]
+    # What the audit of versions saw.
+    versions: str
 
 
 async def soak(seed: int, folder: Path, options: SoakOptions) -> Verdict:
@@ -67,6 +69,7 @@
         load = asyncio.gather(
             clients.run(options.clients, 0.02),
             clients.run_open_loop(OPEN_LOOP_INTERVAL_S, lambda: bool(site.cut_modes)),
+            clients.probe_versions(site.version_audit),
         )
         faults, cuts = Faults(site), ServerCuts(site)
         beside = [
@@ -76,6 +79,7 @@
             asyncio.create_task(cuts.run(Random(seed + 5))),
             asyncio.create_task(faults.evacuate_zone(Random(seed + 7))),
             asyncio.create_task(StoreRollbacks(site).run(Random(seed + 8))),
+            asyncio.create_task(faults.add_versions(Random(seed + 11))),
         ]
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
@@ -107,9 +111,17 @@
         *site.leaving_audit.violations(),
         *site.recover_audit.violations(),
         *site.evacuation_audit.violations(),
+        *site.version_audit.violations(),
     )
     statuses, figures = dict(site.invariants.statuses), tuple(site.recover_audit.figures())
-    return Verdict(seed, violations, statuses, tuple(fault_names), figures)
+    return Verdict(
+        seed,
+        violations,
+        statuses,
+        tuple(fault_names),
+        figures,
+        site.version_audit.figures(),
+    )
 
 
 async def _check_recovery(site: SoakSite, clients: Clients) -> None:
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -10,6 +10,7 @@
 
 from fuchsiawell.core import SystemClock
 from fuchsiawell.soak.address_translation import translating, write_table
+from fuchsiawell.soak.contact import Contact
 from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.evacuation_audit import EvacuationAudit
 from fuchsiawell.soak.invariants import InvariantChecker
@@ -19,6 +20,7 @@
 from fuchsiawell.soak.recover_audit import RecoverAudit
 from fuchsiawell.soak.rest_audit import RestAudit
 from fuchsiawell.soak.server_proxies import ServerProxies
+from fuchsiawell.soak.version_audit import VersionAudit
 from fuchsiawell.standins import MemoryStore, free_ports
 
 from standins.backend_server import BackendServer
@@ -32,7 +34,9 @@
     from fuchsiawell.httpio import Channel
     from fuchsiawell.soak.proxy import CutMode
 
-__all__ = ["ZONES", "SoakSite"]
+__all__ = ["CONFIGURATION_KEY", "ZONES", "SoakSite"]
+
+CONFIGURATION_KEY = "op/config"
 
 ROUTE_KINDS = {"safe": "safe", "once": "unsafe", "up": "upload"}
 REQUEST_DURATION_S = 0.02
@@ -113,6 +117,8 @@
         self.leaving_audit = LeavingAudit()
         self.recover_audit = RecoverAudit()
         self.evacuation_audit = EvacuationAudit()
+        self.contact = Contact()
+        self.version_audit = VersionAudit(self.contact)
         self.daemon_by_peer: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.store.era = 1
@@ -164,8 +170,9 @@
     def configure(self) -> None:
         """Write the next version of the configuration, with one more route."""
         self.version += 1
-        kinds = {**ROUTE_KINDS, f"v{self.version}": "safe"}
-        self.store.put("op/config", configuration_document(self.version, kinds, True))
+        kinds = {**ROUTE_KINDS, **{f"v{number + 1}": "safe" for number in range(self.version)}}
+        self.store.put(CONFIGURATION_KEY, configuration_document(self.version, kinds, True))
+        self.version_audit.record_written(self.version, self.clock.monotonic())
 
     async def add_server(self) -> CheckedServer:
         """Start a server behind its own proxy and write its entry to the store."""
@@ -204,8 +211,14 @@
         for proxies in list(self.server_proxies.values()):
             await proxies.end_cut(daemon)
 
+    async def start_process(self, daemon: Daemon) -> None:
+        """Start the next process of a daemon."""
+        self.contact.record_start(daemon.name, self.clock.monotonic())
+        await daemon.start()
+
     def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
         """Record that a daemon was restarted or frozen."""
+        self.contact.record_disturbance(daemon, start_s, end_s)
         self.recover_audit.record_disturbance(daemon, start_s, end_s)
         self.limit_audit.record_disturbance(daemon, start_s, end_s)
         self.rest_audit.record_disturbance(daemon, start_s, end_s)
--- a/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
+++ b/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiawell.gateway.control.store_keys import OWN_PREFIX
+from fuchsiawell.soak.site import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
     from random import Random
@@ -51,11 +52,14 @@
             await asyncio.sleep(random.uniform(*AWAY_S))
         finally:
             store.unavailable = False
+            site.contact.record_disturbance(None, started_s, site.clock.monotonic())
         known = {key: i for key, i in store.items.items() if not key.startswith(OWN_PREFIX)}
         store.restore(copy)
         self._copies.clear()
         self.count += 1
         restored_at = store.revision
+        if known.get(CONFIGURATION_KEY) != copy.items.get(CONFIGURATION_KEY):
+            site.version_audit.record_lost(started_s, site.clock.monotonic())
         keys = [key for key in {*known, *copy.items} if not key.startswith(OWN_PREFIX)]
         changed = [key for key in sorted(keys) if known.get(key) != copy.items.get(key)]
         try:
@@ -77,3 +81,6 @@
             store.remove(key)
         elif current is None or current.value != item.value:
             store.put(key, item.value)
+            if key == CONFIGURATION_KEY:
+                now_s = self._site.clock.monotonic()
+                self._site.version_audit.record_written(self._site.version, now_s)
