Let servers of the soak leave without a word while the store rolls back

Cause: servers of the soak that leave say so. A server whose entry is removed and that goes on serving, which an older copy of the store brings back, was not looked for.

Change: `Faults.remove_entries` removes entries, beside the other faults and the rollbacks, of servers that go on for 3 to 6 s (stream seed + 9). A request that reaches such a server later than 2 s after the removal was acknowledged is a violation from a daemon in touch, and from one whose process was in touch once since those 2 s: the store's absence excuses a daemon for longer than an older copy lasts, but what a process knew it must not forget.

--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -23,6 +23,8 @@
 MIN_CANDIDATE_SERVERS = 3
 # A server whose entry does not say that it leaves stays this much longer.
 SILENT_LEAVE_S = 2.0
+# Time for which a server goes on serving after its entry was removed.
+SERVE_AFTER_REMOVAL_S = (3.0, 6.0)
 # Requests per second that limited servers take from all daemons.
 LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
 # What servers send without end; what is passed on to clients in part is chosen more often.
@@ -169,6 +171,29 @@
                 site.evacuation_audit.record_taken_back(zone, site.clock.monotonic())
                 site.store.remove(f"op/evacuate/{zone}")
 
+    async def remove_entries(self, random: Random) -> None:
+        """Remove entries of servers that say nothing of it and go on serving, until cancelled.
+
+        This goes on beside the other faults, also while the store comes back from older copies.
+        """
+        site = self._site
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 2.0))
+            names = [name for name in site.servers if name not in self._faulted_servers]
+            # The operator gets no acknowledgement while the store is away.
+            if len(names) < MIN_CANDIDATE_SERVERS or site.store.unavailable:
+                continue
+            name = random.choice(names)
+            self._faulted_servers.add(name)
+            try:
+                await site.add_server()
+                site.remove_server_entry(name)
+                await asyncio.sleep(random.uniform(*SERVE_AFTER_REMOVAL_S))
+            finally:
+                await site.crash_server(name)
+                del site.servers[name]
+                self._faulted_servers.discard(name)
+
     async def add_versions(self, random: Random) -> None:
         """Change the configuration now and then while the store is there, until cancelled.
 
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -48,8 +48,9 @@
     faults: tuple[str, ...]
     # First tries at daemons that were cut off from all servers.
     cuts: tuple[str, ...]
-    # What the audit of versions saw.
+    # What the audits of versions and of removed entries saw.
     versions: str
+    removals: str
 
 
 async def soak(seed: int, folder: Path, options: SoakOptions) -> Verdict:
@@ -79,6 +80,7 @@
             asyncio.create_task(cuts.run(Random(seed + 5))),
             asyncio.create_task(faults.evacuate_zone(Random(seed + 7))),
             asyncio.create_task(StoreRollbacks(site).run(Random(seed + 8))),
+            asyncio.create_task(faults.remove_entries(Random(seed + 9))),
             asyncio.create_task(faults.add_versions(Random(seed + 11))),
         ]
         running: list[asyncio.Task[None]] = []
@@ -112,6 +114,7 @@
         *site.recover_audit.violations(),
         *site.evacuation_audit.violations(),
         *site.version_audit.violations(),
+        *site.removal_audit.violations(),
     )
     statuses, figures = dict(site.invariants.statuses), tuple(site.recover_audit.figures())
     return Verdict(
@@ -121,6 +124,7 @@
         tuple(fault_names),
         figures,
         site.version_audit.figures(),
+        site.removal_audit.figures(),
     )
 
 
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -18,6 +18,7 @@
 from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
 from fuchsiawell.soak.recover_audit import RecoverAudit
+from fuchsiawell.soak.removal_audit import RemovalAudit
 from fuchsiawell.soak.rest_audit import RestAudit
 from fuchsiawell.soak.server_proxies import ServerProxies
 from fuchsiawell.soak.version_audit import VersionAudit
@@ -55,6 +56,7 @@
     rest_audit: RestAudit
     leaving_audit: LeavingAudit
     evacuation_audit: EvacuationAudit
+    removal_audit: RemovalAudit
     # Daemons that opened the connections to servers, by the address that the server sees.
     daemon_by_peer: dict[str, str]
     incarnation: int
@@ -81,6 +83,7 @@
         daemon, now_s = self.sender, self.clock.monotonic()
         self.limit_audit.record_arrival(self.incarnation_id, daemon, now_s)
         self.rest_audit.record_arrival(self.incarnation_id, daemon, now_s)
+        self.removal_audit.record_arrival(self.incarnation_id, daemon, now_s)
         # Clients know the ids of servers only; one that leaves has no later incarnation here.
         self.leaving_audit.record_arrival(self.id, request_id, now_s, daemon)
 
@@ -119,6 +122,7 @@
         self.evacuation_audit = EvacuationAudit()
         self.contact = Contact()
         self.version_audit = VersionAudit(self.contact)
+        self.removal_audit = RemovalAudit(self.contact)
         self.daemon_by_peer: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.store.era = 1
@@ -194,9 +198,15 @@
         entry = server.entry(state, server.incarnation, self.server_proxies[name].port)
         self.store.put(f"servers/{name}", entry)
 
+    def remove_server_entry(self, name: str) -> None:
+        """Remove the entry of a server from the store; the server goes on serving."""
+        self.store.remove(f"servers/{name}")
+        incarnation_id = self.servers[name].incarnation_id
+        self.removal_audit.record_removed(incarnation_id, self.clock.monotonic())
+
     async def remove_server(self, name: str) -> None:
         """Remove the entry of a server from the store and stop the server."""
-        self.store.remove(f"servers/{name}")
+        self.remove_server_entry(name)
         await self.crash_server(name)
 
     def cut_from_servers(self, daemon: str, mode: CutMode) -> None:
@@ -267,6 +277,7 @@
         server.invariants, server.incarnation = self.invariants, incarnation
         server.leaving_audit = self.leaving_audit
         server.evacuation_audit = self.evacuation_audit
+        server.removal_audit = self.removal_audit
         server.zone = ZONES[int(name.removeprefix("i-")) % len(ZONES)]
         server.limit_audit, server.daemon_by_peer = self.limit_audit, self.daemon_by_peer
         server.rest_audit = self.rest_audit
