Restart daemons of the soak while the store is away in a rollback

Cause: daemons were restarted beside rollbacks only by chance, and all of them at once never.

Change: in two of five rollbacks one daemon, or each that has no other fault, is killed when the store goes away and started again up to 1 s later. The draws come from a stream of their own (seed + 10), so that the times and copies of rollbacks stay as they were. The restarts are waited for when the soak ends its faults, and excuse the daemons as other restarts do.

--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -25,6 +25,8 @@
 SILENT_LEAVE_S = 2.0
 # Time for which a server goes on serving after its entry was removed.
 SERVE_AFTER_REMOVAL_S = (3.0, 6.0)
+# Longest time between the kill of a daemon in a rollback of the store and its next start.
+MAX_DOWN_S = 1.0
 # Requests per second that limited servers take from all daemons.
 LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
 # What servers send without end; what is passed on to clients in part is chosen more often.
@@ -205,6 +207,24 @@
             if not self._site.store.unavailable:
                 self._site.configure()
 
+    async def restart_daemons(self, random: Random) -> None:
+        """Kill one daemon or all at once and restart them, but for those that have a fault."""
+        site, started_s = self._site, self._site.clock.monotonic()
+        daemons = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
+        if random.random() < 0.5:
+            daemons = random.sample(daemons, min(1, len(daemons)))
+        self._faulted_daemons.update(daemon.name for daemon in daemons)
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGKILL)
+        for daemon in daemons:
+            await daemon.wait_exit()
+            site.record_disturbance(daemon.name, started_s, site.clock.monotonic())
+        await asyncio.sleep(random.uniform(0.0, MAX_DOWN_S))
+        for daemon in daemons:
+            await site.start_process(daemon)
+            site.record_disturbance(daemon.name, started_s, site.clock.monotonic())
+            self._faulted_daemons.discard(daemon.name)
+
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
         candidates = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -73,13 +73,14 @@
             clients.probe_versions(site.version_audit),
         )
         faults, cuts = Faults(site), ServerCuts(site)
+        rollbacks = StoreRollbacks(site, faults)
         beside = [
             asyncio.create_task(faults.limit_servers(Random(seed + 2))),
             asyncio.create_task(faults.send_without_end(Random(seed + 3))),
             asyncio.create_task(faults.rest_servers(Random(seed + 4))),
             asyncio.create_task(cuts.run(Random(seed + 5))),
             asyncio.create_task(faults.evacuate_zone(Random(seed + 7))),
-            asyncio.create_task(StoreRollbacks(site).run(Random(seed + 8))),
+            asyncio.create_task(rollbacks.run(Random(seed + 8), Random(seed + 10))),
             asyncio.create_task(faults.remove_entries(Random(seed + 9))),
             asyncio.create_task(faults.add_versions(Random(seed + 11))),
         ]
--- a/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
+++ b/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
@@ -12,6 +12,7 @@
     from random import Random
 
     from fuchsiawell.gateway.ports import Item
+    from fuchsiawell.soak.faults import Faults
     from fuchsiawell.soak.site import SoakSite
     from fuchsiawell.standins import StoreCopy
 
@@ -21,6 +22,8 @@
 # Age of the copy, the time for which the store is away, and the time until the operator and the
 # servers have written again what the copy lacks.
 COPY_AGE_S, AWAY_S, REWRITE_S = (0.2, 4.0), (0.05, 1.0), 1.0
+# Part of these times in which daemons are restarted.
+RESTART_RATIO = 0.4
 # Time between two of them.
 PAUSE_S = (3.0, 9.0)
 
@@ -28,26 +31,36 @@
 class StoreRollbacks:
     """Keep copies of the store and put one in its place now and then."""
 
-    def __init__(self, site: SoakSite) -> None:
+    def __init__(self, site: SoakSite, faults: Faults) -> None:
         self._site = site
+        self._faults = faults
         self._copies: list[StoreCopy] = []
-        self.count = 0
+        self._restarts: list[asyncio.Task[None]] = []
 
-    async def run(self, random: Random) -> None:
-        """Come back from older copies until cancelled; ends with all written again."""
-        while True:
-            pause_s = random.uniform(*PAUSE_S)
-            for _ in range(round(pause_s / COPY_INTERVAL_S)):
-                await asyncio.sleep(COPY_INTERVAL_S)
-                self._copies = [*self._copies, self._site.store.copy()][-20:]
-            await self._roll_back(random)
+    async def run(self, random: Random, restarts: Random) -> None:
+        """Come back from older copies until cancelled; ends with all written again.
 
-    async def _roll_back(self, random: Random) -> None:
+        In some of these times daemons are restarted, as `restarts` says.
+        """
+        try:
+            while True:
+                pause_s = random.uniform(*PAUSE_S)
+                for _ in range(round(pause_s / COPY_INTERVAL_S)):
+                    await asyncio.sleep(COPY_INTERVAL_S)
+                    self._copies = [*self._copies, self._site.store.copy()][-20:]
+                await self._roll_back(random, restarts)
+        finally:
+            await asyncio.gather(*self._restarts)
+
+    async def _roll_back(self, random: Random, restarts: Random) -> None:
         site, store = self._site, self._site.store
         started_s = site.clock.monotonic()
         copies = round(random.uniform(*COPY_AGE_S) / COPY_INTERVAL_S)
         copy = self._copies[max(0, len(self._copies) - 1 - copies)]
         store.unavailable = True
+        if restarts.random() < RESTART_RATIO:
+            restart = self._faults.restart_daemons(restarts)
+            self._restarts.append(asyncio.create_task(restart))
         try:
             await asyncio.sleep(random.uniform(*AWAY_S))
         finally:
@@ -56,7 +69,6 @@
         known = {key: i for key, i in store.items.items() if not key.startswith(OWN_PREFIX)}
         store.restore(copy)
         self._copies.clear()
-        self.count += 1
         restored_at = store.revision
         if known.get(CONFIGURATION_KEY) != copy.items.get(CONFIGURATION_KEY):
             site.version_audit.record_lost(started_s, site.clock.monotonic())
