--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -24,7 +24,7 @@
 # A server whose entry does not say that it leaves stays this much longer.
 SILENT_LEAVE_S = 2.0
 # Time for which a server goes on serving after its entry was removed.
-SERVE_AFTER_REMOVAL_S = (3.0, 6.0)
+SERVE_AFTER_REMOVAL_S = (4.0, 8.0)
 # Longest time between the kill of a daemon in a rollback of the store and its next start.
 MAX_DOWN_S = 1.0
 # Requests per second that limited servers take from all daemons.
@@ -179,22 +179,18 @@
         This goes on beside the other faults, also while the store comes back from older copies.
         """
         site = self._site
-        while True:
-            await asyncio.sleep(random.uniform(0.5, 2.0))
-            names = [name for name in site.servers if name not in self._faulted_servers]
-            # The operator gets no acknowledgement while the store is away.
-            if len(names) < MIN_CANDIDATE_SERVERS or site.store.unavailable:
-                continue
-            name = random.choice(names)
-            self._faulted_servers.add(name)
-            try:
+        async with asyncio.TaskGroup() as removals:
+            while True:
+                await asyncio.sleep(random.uniform(0.5, 2.0))
+                names = [name for name in site.servers if name not in self._faulted_servers]
+                # The operator gets no acknowledgement while the store is away.
+                if len(names) < MIN_CANDIDATE_SERVERS or site.store.unavailable:
+                    continue
+                name, duration_s = random.choice(names), random.uniform(*SERVE_AFTER_REMOVAL_S)
+                self._faulted_servers.add(name)
                 await site.add_server()
-                site.remove_server_entry(name)
-                await asyncio.sleep(random.uniform(*SERVE_AFTER_REMOVAL_S))
-            finally:
-                await site.crash_server(name)
-                del site.servers[name]
-                self._faulted_servers.discard(name)
+                removals.create_task(self._remove_and_serve(name, duration_s))
+                await asyncio.sleep(0)
 
     async def add_versions(self, random: Random) -> None:
         """Change the configuration now and then while the store is there, until cancelled.
@@ -310,6 +306,16 @@
             # A response with a rest may have been dropped.
             site.rest_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
 
+    async def _remove_and_serve(self, name: str, duration_s: float) -> None:
+        site = self._site
+        try:
+            site.remove_server_entry(name)
+            await asyncio.sleep(duration_s)
+        finally:
+            await site.crash_server(name)
+            del site.servers[name]
+            self._faulted_servers.discard(name)
+
     async def _corrupt_responses(self, name: str) -> None:
         site, server = self._site, self._site.servers[name]
         server.responses_to_lose += site.random.randrange(3)
