Write nothing again in the soak that was removed after a rollback

The entry (written at 2349.2) was newer than the copy; the store came back at 2350.83, the removal at 2350.837 found no key, and the rollback then wrote the entry again as a writer would that still stands by it (d-1 lists it at 2351.377 and keeps it). A real server or operator does not write again what it has removed. Zones taken back in that time came back for good in the same way. The audit stays as it is.

Change: what is removed after the store has come back is not written again.

--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -171,7 +171,7 @@
                 await asyncio.sleep(random.uniform(*EVACUATION_S))
             finally:
                 site.evacuation_audit.record_taken_back(zone, site.clock.monotonic())
-                site.store.remove(f"op/evacuate/{zone}")
+                site.remove_key(f"op/evacuate/{zone}")
 
     async def remove_entries(self, random: Random) -> None:
         """Remove entries of servers that say nothing of it and go on serving, until cancelled.
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -133,6 +133,8 @@
         # Daemons that are cut off from all servers now.
         self.cut_modes: dict[str, CutMode] = {}
         self.version = 0
+        # Keys that were removed since the store last came back from an older copy.
+        self.removed_keys: set[str] = set()
         self._folder = folder
         self._server_count = 0
         self._store_server: uvicorn.Server | None = None
@@ -198,9 +200,14 @@
         entry = server.entry(state, server.incarnation, self.server_proxies[name].port)
         self.store.put(f"servers/{name}", entry)
 
+    def remove_key(self, key: str) -> None:
+        """Remove a key from the store for good."""
+        self.store.remove(key)
+        self.removed_keys.add(key)
+
     def remove_server_entry(self, name: str) -> None:
         """Remove the entry of a server from the store; the server goes on serving."""
-        self.store.remove(f"servers/{name}")
+        self.remove_key(f"servers/{name}")
         incarnation_id = self.servers[name].incarnation_id
         self.removal_audit.record_removed(incarnation_id, self.clock.monotonic())
 
--- a/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
+++ b/libs/soak/src/fuchsiawell/soak/store_rollbacks.py
@@ -69,6 +69,7 @@
         known = {key: i for key, i in store.items.items() if not key.startswith(OWN_PREFIX)}
         store.restore(copy)
         self._copies.clear()
+        site.removed_keys.clear()
         restored_at = store.revision
         if known.get(CONFIGURATION_KEY) != copy.items.get(CONFIGURATION_KEY):
             site.version_audit.record_lost(started_s, site.clock.monotonic())
@@ -89,7 +90,7 @@
         current = store.items.get(key)
         if current is not None and current.revision > restored_at:
             return
-        if item is None or item.value is None:
+        if item is None or item.value is None or key in self._site.removed_keys:
             store.remove(key)
         elif current is None or current.value != item.value:
             store.put(key, item.value)
