--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 # One of the seeds must report a violation by each mutant; a soak that fails in another way does not
 # count.
 MUTANTS ?= repeat-all lie pass-strays-on move-early die-at-stop grant-once ignore-limits ignore-rests \
-	ignore-leaving leave-zone-out never-relay keep-granting ignore-era
+	ignore-leaving leave-zone-out never-relay keep-granting ignore-era ask-nobody
 soak-mutants: install
 	@mkdir -p build; for mutant in $(MUTANTS); do \
 		caught=; \
--- a/libs/soak/tests/mutants.py
+++ b/libs/soak/tests/mutants.py
@@ -15,6 +15,7 @@
 from fuchsiawell.gateway.application import Application
 from fuchsiawell.gateway.control.evacuations import Evacuations
 from fuchsiawell.gateway.control.granter import Granter
+from fuchsiawell.gateway.control.recollection import Recollection
 from fuchsiawell.gateway.execute import forwarder
 from fuchsiawell.gateway.execute.forwarder import ClientRequest
 from fuchsiawell.gateway.execute.refusal import Refusal, not_executed
@@ -25,9 +26,10 @@
 from fuchsiawell.shards import GrantExpiryTracker
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from fuchsiawell.gateway.ports import Item
+    from fuchsiawell.gateway.session.state import Peer
 
 __all__ = ["MUTANTS"]
 
@@ -149,6 +151,15 @@
     Store.observe_era = lambda self, step, peer, era: None  # type: ignore[method-assign]
 
 
+def _ask_nobody() -> None:
+    """Ask no other daemon for what the store has forgotten."""
+
+    async def ask(self: Recollection, peers: Collection[Peer]) -> dict[Peer, Any]:
+        return {}
+
+    Recollection._ask = ask  # type: ignore[method-assign]
+
+
 MUTANTS = {
     "repeat-all": _repeat_all,
     "lie": _lie,
@@ -163,6 +174,7 @@
     "never-relay": _never_relay,
     "keep-granting": _keep_granting,
     "ignore-era": _ignore_era,
+    "ask-nobody": _ask_nobody,
 }
 
 
