--- a/libs/soak/src/fuchsiawell/soak/faults.py
+++ b/libs/soak/src/fuchsiawell/soak/faults.py
@@ -23,6 +23,10 @@
 MIN_CANDIDATE_SERVERS = 3
 # A server whose entry does not say that it leaves stays this much longer.
 SILENT_LEAVE_S = 2.0
+# Time for which a server goes on serving after its entry was removed.
+SERVE_AFTER_REMOVAL_S = (4.0, 8.0)
+# Longest time between the kill of a daemon in a rollback of the store and its next start.
+MAX_DOWN_S = 1.0
 # Requests per second that limited servers take from all daemons.
 LIMITS_PER_S = (0.0, 0.5, 1.2, 3.0, 8.0)
 # What servers send without end; what is passed on to clients in part is chosen more often.
@@ -66,7 +70,7 @@
         if mode == 3:
             proxy.reset_connections()
         duration_s = site.random.uniform(1.0, 5.0)
-        for audit in (site.limit_audit, site.recover_audit, site.evacuation_audit):
+        for audit in (site.limit_audit, site.recover_audit, site.evacuation_audit, site.contact):
             audit.record_disturbance(name, started_s, started_s + duration_s)
         await asyncio.sleep(duration_s)
         proxy.clear_faults()
@@ -77,7 +81,8 @@
         site.store.unavailable = True
         await asyncio.sleep(site.random.uniform(1.0, 5.0))
         site.store.unavailable = False
-        site.evacuation_audit.record_disturbance(None, started_s, site.clock.monotonic())
+        for audit in (site.evacuation_audit, site.contact):
+            audit.record_disturbance(None, started_s, site.clock.monotonic())
 
     async def store_loses_answers(self) -> None:
         """Execute some writes of the store but lose the responses."""
@@ -166,7 +171,55 @@
                 await asyncio.sleep(random.uniform(*EVACUATION_S))
             finally:
                 site.evacuation_audit.record_taken_back(zone, site.clock.monotonic())
-                site.store.remove(f"op/evacuate/{zone}")
+                site.remove_key(f"op/evacuate/{zone}")
+
+    async def remove_entries(self, random: Random) -> None:
+        """Remove entries of servers that say nothing of it and go on serving, until cancelled.
+
+        This goes on beside the other faults, also while the store comes back from older copies.
+        """
+        site = self._site
+        async with asyncio.TaskGroup() as removals:
+            while True:
+                await asyncio.sleep(random.uniform(0.5, 2.0))
+                names = [name for name in site.servers if name not in self._faulted_servers]
+                # The operator gets no acknowledgement while the store is away.
+                if len(names) < MIN_CANDIDATE_SERVERS or site.store.unavailable:
+                    continue
+                name, duration_s = random.choice(names), random.uniform(*SERVE_AFTER_REMOVAL_S)
+                self._faulted_servers.add(name)
+                await site.add_server()
+                removals.create_task(self._remove_and_serve(name, duration_s))
+                await asyncio.sleep(0)
+
+    async def add_versions(self, random: Random) -> None:
+        """Change the configuration now and then while the store is there, until cancelled.
+
+        Some versions are then known to all, and others to none, when the store comes back from an
+        older copy.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            if not self._site.store.unavailable:
+                self._site.configure()
+
+    async def restart_daemons(self, random: Random) -> None:
+        """Kill one daemon or all at once and restart them, but for those that have a fault."""
+        site, started_s = self._site, self._site.clock.monotonic()
+        daemons = [d for d in site.daemons if d.name not in self._faulted_daemons and d.running]
+        if random.random() < 0.5:
+            daemons = random.sample(daemons, min(1, len(daemons)))
+        self._faulted_daemons.update(daemon.name for daemon in daemons)
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGKILL)
+        for daemon in daemons:
+            await daemon.wait_exit()
+            site.record_disturbance(daemon.name, started_s, site.clock.monotonic())
+        await asyncio.sleep(random.uniform(0.0, MAX_DOWN_S))
+        for daemon in daemons:
+            await site.start_process(daemon)
+            site.record_disturbance(daemon.name, started_s, site.clock.monotonic())
+            self._faulted_daemons.discard(daemon.name)
 
     async def _inject_into_daemon(self, fault: Callable[[Daemon], Awaitable[None]]) -> None:
         site = self._site
@@ -186,7 +239,7 @@
         daemon.send_signal(signal.SIGKILL)
         await daemon.wait_exit()
         await asyncio.sleep(self._site.random.uniform(0.1, 1.5))
-        await daemon.start()
+        await self._site.start_process(daemon)
 
     async def _terminate_and_restart(self, daemon: Daemon) -> None:
         # Before it is ready, a process may have no SIGTERM handler yet and would be killed by it.
@@ -197,7 +250,7 @@
             self._site.invariants.violations.append(
                 f"{daemon.name} exited with status {status} after SIGTERM"
             )
-        await daemon.start()
+        await self._site.start_process(daemon)
 
     async def _suspend(self, daemon: Daemon) -> None:
         daemon.send_signal(signal.SIGSTOP)
@@ -253,6 +306,16 @@
             # A response with a rest may have been dropped.
             site.rest_audit.record_disturbance(daemon.name, started_s, site.clock.monotonic())
 
+    async def _remove_and_serve(self, name: str, duration_s: float) -> None:
+        site = self._site
+        try:
+            site.remove_server_entry(name)
+            await asyncio.sleep(duration_s)
+        finally:
+            await site.crash_server(name)
+            del site.servers[name]
+            self._faulted_servers.discard(name)
+
     async def _corrupt_responses(self, name: str) -> None:
         site, server = self._site, self._site.servers[name]
         server.responses_to_lose += site.random.randrange(3)
--- a/libs/soak/src/fuchsiawell/soak/run.py
+++ b/libs/soak/src/fuchsiawell/soak/run.py
@@ -48,6 +48,9 @@
     faults: tuple[str, ...]
     # First tries at daemons that were cut off from all servers.
     cuts: tuple[str, ...]
+    # What the audits of versions and of removed entries saw.
+    versions: str
+    removals: str
 
 
 async def soak(seed: int, folder: Path, options: SoakOptions) -> Verdict:
@@ -67,15 +70,19 @@
         load = asyncio.gather(
             clients.run(options.clients, 0.02),
             clients.run_open_loop(OPEN_LOOP_INTERVAL_S, lambda: bool(site.cut_modes)),
+            clients.probe_versions(site.version_audit),
         )
         faults, cuts = Faults(site), ServerCuts(site)
+        rollbacks = StoreRollbacks(site, faults)
         beside = [
             asyncio.create_task(faults.limit_servers(Random(seed + 2))),
             asyncio.create_task(faults.send_without_end(Random(seed + 3))),
             asyncio.create_task(faults.rest_servers(Random(seed + 4))),
             asyncio.create_task(cuts.run(Random(seed + 5))),
             asyncio.create_task(faults.evacuate_zone(Random(seed + 7))),
-            asyncio.create_task(StoreRollbacks(site).run(Random(seed + 8))),
+            asyncio.create_task(rollbacks.run(Random(seed + 8), Random(seed + 10))),
+            asyncio.create_task(faults.remove_entries(Random(seed + 9))),
+            asyncio.create_task(faults.add_versions(Random(seed + 11))),
         ]
         running: list[asyncio.Task[None]] = []
         for _ in range(options.faults):
@@ -107,9 +114,19 @@
         *site.leaving_audit.violations(),
         *site.recover_audit.violations(),
         *site.evacuation_audit.violations(),
+        *site.version_audit.violations(),
+        *site.removal_audit.violations(),
     )
     statuses, figures = dict(site.invariants.statuses), tuple(site.recover_audit.figures())
-    return Verdict(seed, violations, statuses, tuple(fault_names), figures)
+    return Verdict(
+        seed,
+        violations,
+        statuses,
+        tuple(fault_names),
+        figures,
+        site.version_audit.figures(),
+        site.removal_audit.figures(),
+    )
 
 
 async def _check_recovery(site: SoakSite, clients: Clients) -> None:
--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -10,6 +10,7 @@
 
 from fuchsiawell.core import SystemClock
 from fuchsiawell.soak.address_translation import translating, write_table
+from fuchsiawell.soak.contact import Contact
 from fuchsiawell.soak.daemons import PROGRAM, Daemon
 from fuchsiawell.soak.evacuation_audit import EvacuationAudit
 from fuchsiawell.soak.invariants import InvariantChecker
@@ -17,8 +18,10 @@
 from fuchsiawell.soak.limit_audit import LimitAudit
 from fuchsiawell.soak.proxy import Proxy
 from fuchsiawell.soak.recover_audit import RecoverAudit
+from fuchsiawell.soak.removal_audit import RemovalAudit
 from fuchsiawell.soak.rest_audit import RestAudit
 from fuchsiawell.soak.server_proxies import ServerProxies
+from fuchsiawell.soak.version_audit import VersionAudit
 from fuchsiawell.standins import MemoryStore, free_ports
 
 from standins.backend_server import BackendServer
@@ -32,7 +35,9 @@
     from fuchsiawell.httpio import Channel
     from fuchsiawell.soak.proxy import CutMode
 
-__all__ = ["ZONES", "SoakSite"]
+__all__ = ["CONFIGURATION_KEY", "ZONES", "SoakSite"]
+
+CONFIGURATION_KEY = "op/config"
 
 ROUTE_KINDS = {"safe": "safe", "once": "unsafe", "up": "upload"}
 REQUEST_DURATION_S = 0.02
@@ -51,6 +56,7 @@
     rest_audit: RestAudit
     leaving_audit: LeavingAudit
     evacuation_audit: EvacuationAudit
+    removal_audit: RemovalAudit
     # Daemons that opened the connections to servers, by the address that the server sees.
     daemon_by_peer: dict[str, str]
     incarnation: int
@@ -77,6 +83,7 @@
         daemon, now_s = self.sender, self.clock.monotonic()
         self.limit_audit.record_arrival(self.incarnation_id, daemon, now_s)
         self.rest_audit.record_arrival(self.incarnation_id, daemon, now_s)
+        self.removal_audit.record_arrival(self.incarnation_id, daemon, now_s)
         # Clients know the ids of servers only; one that leaves has no later incarnation here.
         self.leaving_audit.record_arrival(self.id, request_id, now_s, daemon)
 
@@ -113,6 +120,9 @@
         self.leaving_audit = LeavingAudit()
         self.recover_audit = RecoverAudit()
         self.evacuation_audit = EvacuationAudit()
+        self.contact = Contact()
+        self.version_audit = VersionAudit(self.contact)
+        self.removal_audit = RemovalAudit(self.contact)
         self.daemon_by_peer: dict[str, str] = {}
         self.store = MemoryStore(self.clock)
         self.store.era = 1
@@ -123,6 +133,8 @@
         # Daemons that are cut off from all servers now.
         self.cut_modes: dict[str, CutMode] = {}
         self.version = 0
+        # Keys that were removed since the store last came back from an older copy.
+        self.removed_keys: set[str] = set()
         self._folder = folder
         self._server_count = 0
         self._store_server: uvicorn.Server | None = None
@@ -164,8 +176,9 @@
     def configure(self) -> None:
         """Write the next version of the configuration, with one more route."""
         self.version += 1
-        kinds = {**ROUTE_KINDS, f"v{self.version}": "safe"}
-        self.store.put("op/config", configuration_document(self.version, kinds, True))
+        kinds = {**ROUTE_KINDS, **{f"v{number + 1}": "safe" for number in range(self.version)}}
+        self.store.put(CONFIGURATION_KEY, configuration_document(self.version, kinds, True))
+        self.version_audit.record_written(self.version, self.clock.monotonic())
 
     async def add_server(self) -> CheckedServer:
         """Start a server behind its own proxy and write its entry to the store."""
@@ -187,9 +200,20 @@
         entry = server.entry(state, server.incarnation, self.server_proxies[name].port)
         self.store.put(f"servers/{name}", entry)
 
+    def remove_key(self, key: str) -> None:
+        """Remove a key from the store for good."""
+        self.store.remove(key)
+        self.removed_keys.add(key)
+
+    def remove_server_entry(self, name: str) -> None:
+        """Remove the entry of a server from the store; the server goes on serving."""
+        self.remove_key(f"servers/{name}")
+        incarnation_id = self.servers[name].incarnation_id
+        self.removal_audit.record_removed(incarnation_id, self.clock.monotonic())
+
     async def remove_server(self, name: str) -> None:
         """Remove the entry of a server from the store and stop the server."""
-        self.store.remove(f"servers/{name}")
+        self.remove_server_entry(name)
         await self.crash_server(name)
 
     def cut_from_servers(self, daemon: str, mode: CutMode) -> None:
@@ -204,8 +228,14 @@
         for proxies in list(self.server_proxies.values()):
             await proxies.end_cut(daemon)
 
+    async def start_process(self, daemon: Daemon) -> None:
+        """Start the next process of a daemon."""
+        self.contact.record_start(daemon.name, self.clock.monotonic())
+        await daemon.start()
+
     def record_disturbance(self, daemon: str, start_s: float, end_s: float) -> None:
         """Record that a daemon was restarted or frozen."""
+        self.contact.record_disturbance(daemon, start_s, end_s)
         self.recover_audit.record_disturbance(daemon, start_s, end_s)
         self.limit_audit.record_disturbance(daemon, start_s, end_s)
         self.rest_audit.record_disturbance(daemon, start_s, end_s)
@@ -254,6 +284,7 @@
         server.invariants, server.incarnation = self.invariants, incarnation
         server.leaving_audit = self.leaving_audit
         server.evacuation_audit = self.evacuation_audit
+        server.removal_audit = self.removal_audit
         server.zone = ZONES[int(name.removeprefix("i-")) % len(ZONES)]
         server.limit_audit, server.daemon_by_peer = self.limit_audit, self.daemon_by_peer
         server.rest_audit = self.rest_audit
