--- a/libs/soak/src/fuchsiawell/soak/server_proxies.py
+++ b/libs/soak/src/fuchsiawell/soak/server_proxies.py
@@ -52,11 +52,13 @@
             proxy.clear_faults()
 
     def cut(self, daemon: str, mode: CutMode) -> None:
-        """Cut a daemon off until `end_cut`."""
-        self.by_daemon[daemon].cut(mode)
+        """Cut a daemon off until `end_cut`; one whose proxy is still to be added, then."""
+        if daemon in self.by_daemon:
+            self.by_daemon[daemon].cut(mode)
 
     async def end_cut(self, daemon: str) -> None:
-        await self.by_daemon[daemon].end_cut()
+        if daemon in self.by_daemon:
+            await self.by_daemon[daemon].end_cut()
 
     async def stop(self) -> None:
         for proxy in self.by_daemon.values():
