Hold back one removed server of a small service, and forget old returns of zones

Seen in reading the diff: at a service of three servers or fewer one removed server is over a quarter, so that the copy's entry was used. One is always held back now (test_removed_server_of_a_small_service_stays_away failed before). Zones that were taken back long ago are no longer remembered for ever.

--- a/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/evacuations.py
@@ -83,6 +83,8 @@
         now_s = self._session.now_s
         for zone in [zone for zone, until_s in self._missing_until_s.items() if until_s <= now_s]:
             self._take_back(zone)
+        oldest_s = now_s - TAKEN_BACK_RETENTION_S
+        self._taken_back_s = {z: at_s for z, at_s in self._taken_back_s.items() if at_s > oldest_s}
         for zone in [zone for zone, (_, until_s) in self._held.items() if until_s <= now_s]:
             self._evacuate(zone, self._held.pop(zone)[0], 0.0)
 
@@ -140,11 +142,7 @@
             self._session.wake()
 
     def _was_taken_back(self, zone: str) -> bool:
-        taken_back_s = self._taken_back_s.get(zone, float("-inf"))
-        return (
-            zone not in self._session.evacuated_zones
-            and self._session.now_s - taken_back_s < TAKEN_BACK_RETENTION_S
-        )
+        return zone in self._taken_back_s and zone not in self._session.evacuated_zones
 
     def _log(self, event: str, zone: str) -> None:
         session = self._session
--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -104,7 +104,7 @@
             self._session.update_backend(backend)
 
     def apply_possible_copy(self, items: Sequence[Item]) -> None:
-        """Apply the first listing of a store that may have come back from an older copy before."""
+        """Apply a first listing, which may be of a copy that is older than what others know."""
         self._lists_copy, self._removed_ids = True, self._removed_among(items)
         try:
             self.apply_listing(items)
@@ -235,7 +235,7 @@
         return {
             backend_id
             for service, ids in removed.items()
-            if len(ids) <= MAX_REMOVED_RATIO * listed[service]
+            if len(ids) <= max(1, MAX_REMOVED_RATIO * listed[service])
             for backend_id in ids
         }
 
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -319,6 +319,17 @@
     assert "i-0" not in applier._session.directory.by_id
 
 
+# Guards against the same at a service of few servers, of which one is over a quarter.
+def test_removed_server_of_a_small_service_stays_away() -> None:
+    clock = ManualClock(1000.0)
+    applier = ItemApplier(session(clock), FakeRecordDecoder())
+    applier.apply_listing(COPY[:2])
+    applier.apply(Item("servers/i-0", None, 20))
+    clock.advance(CONTACT_S)
+    applier.apply_copy(COPY[:2])
+    assert set(applier._session.directory.by_id) == {"i-1"}
+
+
 # Guards against a few removals beside trouble with the store that a copy undoes, and against a
 # whole service that is left out because its entries lapsed.
 @pytest.mark.parametrize(("missing", "kept"), [(1, False), (3, True)])
