--- a/libs/soak/src/fuchsiawell/soak/clients.py
+++ b/libs/soak/src/fuchsiawell/soak/clients.py
@@ -118,7 +118,7 @@
     async def _probe(self, daemon: Daemon, version: int, number: int, audit: VersionAudit) -> None:
         loop, client = asyncio.get_running_loop(), FIRST_PROBER + number
         sent_s, key = loop.time(), number * PROBE_KEY_STEP % 65536
-        result = await self._attempt(daemon, key, client, f"v{version}", "GET", 0)
+        result = await self._attempt(daemon, key, client, f"version{version}", "GET", 0)
         self._close_connection(client)
         audit.record_answer(daemon.name, version, result.status, sent_s, loop.time())
         if result.status != NOT_FOUND:
