--- a/libs/soak/src/fuchsiawell/soak/site.py
+++ b/libs/soak/src/fuchsiawell/soak/site.py
@@ -176,7 +176,10 @@
     def configure(self) -> None:
         """Write the next version of the configuration, with one more route."""
         self.version += 1
-        kinds = {**ROUTE_KINDS, **{f"version{number + 1}": "safe" for number in range(self.version)}}
+        kinds = {
+            **ROUTE_KINDS,
+            **{f"version{number + 1}": "safe" for number in range(self.version)},
+        }
         self.store.put(CONFIGURATION_KEY, configuration_document(self.version, kinds, True))
         self.version_audit.record_written(self.version, self.clock.monotonic())
 
