--- a/review/7/run.py
+++ b/review/7/run.py
@@ -41,9 +41,7 @@
 
     async def add_server(name: str, number: int) -> None:
         zone = f"z{number % 2}"
-        await site.add_server(
-            name, "tallyboard", zone=zone, work_s=0.05, heartbeat_s=HEARTBEAT_S
-        )
+        await site.add_server(name, "tallyboard", zone=zone, work_s=0.05, heartbeat_s=HEARTBEAT_S)
 
     for number in range(SERVERS):
         await add_server(f"i-{number}", number)
@@ -101,7 +99,7 @@
         return 2
     late: Counter[str] = Counter()
     late_in_touch: Counter[str] = Counter()
-    for at_s, what, fields in site.lines:
+    for _at_s, what, fields in site.lines:
         if what != "arrives" or fields["server"] not in removed:
             continue
         name = str(fields["server"])
--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -5,11 +5,15 @@
 import asyncio
 import json
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from standins2.http11 import Answer, Request, serve
-from standins2.store import Store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from standins2.store import Store
 
 __all__ = ["Backend", "Hold"]
 
@@ -145,9 +149,7 @@
         self.seen.append((first, last, fence))
         self._remove(first, last)
         self.holds.append(Hold(first, last, fence, now_s + hold_s))
-        self.record(
-            "granted", server=self.id, first=first, last=last, fence=fence, hold_s=hold_s
-        )
+        self.record("granted", server=self.id, first=first, last=last, fence=fence, hold_s=hold_s)
         return Answer(200, echo)
 
     async def _release(self, call: dict[str, object], echo: dict[str, str]) -> Answer:
--- a/review/standins2/http11.py
+++ b/review/standins2/http11.py
@@ -3,10 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-__all__ = ["Answer", "Request", "read_head", "read_request", "send_request", "serve", "write_answer"]
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = [
+    "Answer",
+    "Request",
+    "read_head",
+    "read_request",
+    "send_request",
+    "serve",
+    "write_answer",
+]
 
 
 @dataclass
@@ -92,7 +103,12 @@
 
 
 async def send_request(
-    port: int, method: str, target: str, fields: dict[str, str], body: bytes = b"", timeout_s: float = 10.0
+    port: int,
+    method: str,
+    target: str,
+    fields: dict[str, str],
+    body: bytes = b"",
+    timeout_s: float = 10.0,
 ) -> Answer:
     """Send a request on a new connection and return its response."""
     writer: asyncio.StreamWriter | None = None
--- a/review/standins2/ownership.py
+++ b/review/standins2/ownership.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 __all__ = ["Overlap", "overlaps"]
 
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -7,18 +7,20 @@
 import os
 import random
 import shutil
-import signal
 import socket
 import tempfile
 import time
 import tomllib
 from pathlib import Path
-from typing import TextIO
+from typing import TYPE_CHECKING, TextIO
 
 from standins2.backend import Backend
 from standins2.http11 import Answer, send_request
 from standins2.store import Store
 
+if TYPE_CHECKING:
+    import signal
+
 __all__ = ["HOST", "ROOT", "Daemon", "Site", "operator_config", "route", "service"]
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -67,7 +69,9 @@
     return [name, "/health", 130, "h1", False, sharded or None, "2s" if sharded else None]
 
 
-def operator_config(version: int, routes: list[list[object]], services: list[list[object]]) -> bytes:
+def operator_config(
+    version: int, routes: list[list[object]], services: list[list[object]]
+) -> bytes:
     """Return the value of `op/config`."""
     document = {
         "version": f"{version:08x}",
@@ -149,7 +153,16 @@
                 },
             },
             "sections": {
-                "contracts": "base drain config cost retry recover own platform".split(),
+                "contracts": [
+                    "base",
+                    "drain",
+                    "config",
+                    "cost",
+                    "retry",
+                    "recover",
+                    "own",
+                    "platform",
+                ],
                 "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
                 "bounds": BOUNDS,
             },
@@ -232,7 +245,9 @@
         rest = " ".join(f"{name}={value}" for name, value in fields.items())
         self._record.write(f"{now_s:8.3f} {what} {rest}\n")
 
-    async def start(self, daemons: int, config: bytes, zones: tuple[str, ...] = ("z0", "z1")) -> None:
+    async def start(
+        self, daemons: int, config: bytes, zones: tuple[str, ...] = ("z0", "z1")
+    ) -> None:
         """Start the store with a configuration, and the daemons."""
         await self.store.start()
         self.store.put("op/config", config)
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -221,5 +221,3 @@
 
 def _seconds(text: str) -> float:
     return float(text[:-2]) / 1000 if text.endswith("ms") else float(text[:-1])
-
-
