Log what the first granter of an era learns of the others' owners

The line "owners asked of other daemons" names the terms of the stored and the known map, the fence from which assignments were asked for, how many came, and how many daemons knew the owners of before.

--- a/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
@@ -174,6 +174,17 @@
     witnesses = newer.witnesses + knows_last_owners(session, service, era)
     owners_known = stored is None or 2 * witnesses > session.daemon_count
     assignments = newer.in_order
+    session.log.event(
+        "owners asked of other daemons",
+        service=service,
+        era=era,
+        stored_term=None if stored is None else stored.term,
+        known_term=None if known is None else known.term,
+        min_fence=min_fence,
+        newer=len(assignments),
+        witnesses=witnesses,
+        daemons=session.daemon_count,
+    )
     if newest is None:
         if not assignments:
             return None, owners_known
--- a/libs/gateway/tests/test_take_over.py
+++ b/libs/gateway/tests/test_take_over.py
@@ -179,6 +179,9 @@
         start = await site.take_over()
         assert start.shard_map.assignment_for(50).owner == SECOND
         assert start.shard_map.assignment_for(100).owner == FIRST
+        (asked,) = log_events(site.sessions["d-1"], "owners asked of other daemons")
+        terms = asked["stored_term"], asked["known_term"]
+        assert (*terms, asked["newer"], asked["witnesses"], asked["daemons"]) == (1, 2, 1, 2, 3)
         assert start.shard_map.term > 2 * COUNTERS_PER_ERA
         assert min(a.fence for a in start.shard_map.assignments) > 2 * COUNTERS_PER_ERA
         assert site.waits_s(start)[UNKNOWN_GRANTER] == TIMING.renew_without_store_s
