Let most daemons know of the first owners before they are granted keys

If the store then lost the map with the granter, the successor found none, nobody knew one, and it divided the keys anew, among other servers if one had joined.

Change: before its first grants a term replicates the assignments whose owners this daemon did not know before the term: all of a first map, and what it has learned of the store or of single daemons just now. Mostly there are none, and nothing is sent.

--- a/libs/gateway/src/fuchsiawell/gateway/control/assignment_replication.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/assignment_replication.py
@@ -15,7 +15,7 @@
     from fuchsiawell.gateway.session.state import Session
     from fuchsiawell.shards import Assignment, ShardMap
 
-__all__ = ["AssignmentReplicator"]
+__all__ = ["AssignmentReplicator", "new_owners"]
 
 # How often a replica is sent to the daemons that have not acknowledged it, as datagrams may be
 # lost, and the wait for acknowledgements after each time. Nobody serves the keys meanwhile.
@@ -122,5 +122,14 @@
             self._acked.set()
 
 
+def new_owners(shard_map: ShardMap, known: ShardMap | None) -> list[Assignment]:
+    """Return the assignments of a map whose owners a known map does not have."""
+    return [
+        a
+        for a in shard_map.assignments
+        if a.owner is not None and (known is None or known.owners_of(a.first, a.last) != {a.owner})
+    ]
+
+
 def _ack_of(replica: AssignmentReplica) -> ReplicaAck:
     return ReplicaAck(replica.service, replica.term, replica.number)
--- a/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from fuchsiawell.gateway.control.assignment_replication import new_owners
 from fuchsiawell.gateway.control.grant_client import GrantCallError, GrantClient
 from fuchsiawell.gateway.control.move_planner import MovePlanner
 from fuchsiawell.gateway.control.owner_health import OwnerHealth
@@ -134,6 +135,8 @@
         self._releases.start_term(start.renews_until_s)
         new_map = self._map = start.shard_map
         self._session.granting_terms[self.service] = new_map.term
+        unknown = new_owners(new_map, self._session.shard_maps.get(self.service))
+        await self._replicator.replicate(self._record, new_map, unknown)
         self._session.apply_shard_map(new_map, "own term")
         now_s = self._session.now_s
         self._session.log.event(
--- a/libs/gateway/tests/test_assignment_replication.py
+++ b/libs/gateway/tests/test_assignment_replication.py
@@ -17,6 +17,7 @@
     MAX_REPLICA_ASSIGNMENTS,
     MAX_SENDS,
     AssignmentReplicator,
+    new_owners,
 )
 from fuchsiawell.gateway.control.map_messages import ReplicaAck
 from fuchsiawell.gateway.control.peers import PeerMessenger
@@ -251,3 +252,19 @@
         assert site.datagrams.sent == sent
 
     run(scenario)
+
+
+# A granter sends what it has learned of others or of the store alone, and not the whole map.
+@pytest.mark.parametrize(
+    ("known", "new"),
+    [
+        (None, [(0, 99), (100, KEY_COUNT - 1)]),
+        (KNOWN, [(0, 99)]),
+        (MOVED.split_around(10, 19), []),
+        (KNOWN.assign([(0, 49, NEXT)]), [(0, 99)]),
+    ],
+)
+def test_new_owners_are_those_that_the_known_map_does_not_have(
+    known: ShardMap | None, new: list[tuple[int, int]]
+) -> None:
+    assert [(a.first, a.last) for a in new_owners(MOVED.next_term("d-2"), known)] == new
--- a/libs/shards/src/fuchsiawell/shards/shard_map.py
+++ b/libs/shards/src/fuchsiawell/shards/shard_map.py
@@ -95,6 +95,11 @@
         """Return the assignments of an owner."""
         return [assignment for assignment in self.assignments if assignment.owner == owner]
 
+    def owners_of(self, first: int, last: int) -> set[Owner | None]:
+        """Return the owners of the keys of a range, None among them if any has no owner."""
+        start, end = _overlap(self.assignments, first, last)
+        return {assignment.owner for assignment in self.assignments[start:end]}
+
     @property
     def owners(self) -> list[Owner]:
         """The owners, each once, in order of their first key."""
