Do not confirm a term by a copy of the store

A granter whose process stood still asks the store whether its term is current before it renews grants. The copy that a store comes back from names that term too, so the granter sent one more round of renewals, until its election loop noticed the new era. Found by reading, on the search for what a daemon does on the store's word alone; not seen in a run. The record compares the era as well, as its writes do. test_term_of_an_earlier_era_is_not_confirmed_by_the_copy failed before.

--- a/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
@@ -146,7 +146,7 @@
     async def confirm(self, term: int) -> None:
         """Return once the store confirms that `term` is current; raises GrantingLostError."""
         item = await self._get_item()
-        if item is None or item.value is None:
+        if self._store.era != self.era or item is None or item.value is None:
             raise GrantingLostError
         try:
             stored_map = decode_stored_map(self._key, item.value)
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -213,6 +213,21 @@
     assert store.items[SHARDS_PREFIX + "s"].value == encode_map(other)
 
 
+# Guards against a granter that was suspended and goes on in its term, which the copy of the store
+# names too: its successor in the new era may have moved keys.
+async def test_term_of_an_earlier_era_is_not_confirmed_by_the_copy() -> None:
+    clock = ManualClock(1000.0)
+    store = MemoryStore(clock)
+    store.era = 1
+    record = ShardMapRecord("s", DaemonStore(store), session(clock).log)
+    assert await record.read() is None
+    assert await record.compare_and_swap(_map("d-1"))
+    await record.confirm(1)
+    store.restore(store.copy())
+    with pytest.raises(GrantingLostError):
+        await record.confirm(1)
+
+
 def test_terms_and_fences_of_an_era_are_above_all_earlier_ones() -> None:
     assert counter_floor(None) == 0
     first = _map("d-1").next_term("d-1", counter_floor(1))
