Model replicas of a move, and drop two known limits

The specification of the owners after a drill assumed that each daemon in touch with the store hears of a move as soon as it is stored, and listed the opposite as a known limit, as it did for most daemons cut off from the store. Both assumptions are gone: A grants T the keys only once W or G has acknowledged the move, and either may be cut off from the store.

New mutants, both caught: keys granted before most daemons know of the move; move acknowledged after the reply to a new granter.

--- a/libs/model/src/fuchsiawell/model/catalog.py
+++ b/libs/model/src/fuchsiawell/model/catalog.py
@@ -116,16 +116,19 @@
         "map that is still waited for is vouched for",
         replace(RESTORED_RULES, waiting_map_is_unknown=False),
     ),
+    _restored_variant(
+        "keys granted before most daemons know of the move",
+        replace(RESTORED_RULES, replicates_moves=False),
+    ),
+    _restored_variant(
+        "move acknowledged after the reply to a new granter",
+        replace(RESTORED_RULES, refuses_after_reply=False),
+    ),
 )
 
 LIMITS: tuple[Variant, ...] = (
     _variant("a server that does not check fences", replace(RULES, checks_fence=False)),
     _restored_variant(
-        "witnesses that have not heard of the last move yet",
-        replace(RESTORED_RULES, watchers_hear_of_moves=False),
-    ),
-    _restored_variant(
-        "most daemons cut off from the store when a move is stored",
-        replace(RESTORED_RULES, most_are_in_touch=False),
+        "most daemons do not answer the granter", replace(RESTORED_RULES, most_answer=False)
     ),
 )
--- a/libs/model/src/fuchsiawell/model/restored_owners.py
+++ b/libs/model/src/fuchsiawell/model/restored_owners.py
@@ -1,6 +1,7 @@
 """Specification of the first owners after the store came back from a copy that lacks a move.
 
 Granter A moves the keys from server S to server T, and the store forgets it: its copy names S. A
+grants T the keys once W or G, and so most daemons, have acknowledged a replica of the move; it
 lives on, is killed, or is cut off from the store and renews the grant of T for a bounded time. G is
 the first granter of the new era, started in it or not, and asks A and witness W what the copy
 lacks. H follows G, after a kill or a planned stop, and finds the map of G. Other keys have moved
@@ -48,10 +49,12 @@
     vouches_after_end: bool = True
     # A map whose owners are still waited for is not vouched for in the next era.
     waiting_map_is_unknown: bool = True
-    # Assumption: a daemon in touch with the store hears of each move as soon as it is stored.
-    watchers_hear_of_moves: bool = True
-    # Assumption: most daemons are in touch with the store when a move is stored.
-    most_are_in_touch: bool = True
+    # Keys that move are granted only when most daemons know of the move.
+    replicates_moves: bool = True
+    # A daemon that has told a granter of the new era what it knows acknowledges no replica of A.
+    refuses_after_reply: bool = True
+    # Assumption: most daemons answer A. If not, it grants what the store confirms.
+    most_answer: bool = True
 
 
 class Daemon(NamedTuple):
@@ -83,6 +86,8 @@
     a_alive: bool = True
     a_active: bool = True
     a_since_contact: int = 0
+    acknowledged: bool = False  # a replica of the move, by W or G
+    w_has_replied: bool = False  # to G
     a: Daemon = Daemon()
     w: Daemon = Daemon()
     g: Daemon = Daemon()
@@ -136,7 +141,7 @@
     yield Step("a tick passes", _tick(state))
     yield from _a_steps(state, rules)
     if not state.drills:
-        yield from _contact_steps(state, rules)
+        yield from _contact_steps(state)
         yield Step("the store comes back from a copy that names S", state._replace(drills=1))
     elif not state.terms:
         yield from _new_era_steps(state)
@@ -173,25 +178,35 @@
         yield Step("A renews the grant of S", state._replace(s_ttl_left=GRANT_TTL_TICKS))
         yield Step("S releases the keys to A", state._replace(released=True, s_ttl_left=0))
     elif state.stored:
-        yield Step("A grants the keys to T", state._replace(t_ttl_left=GRANT_TTL_TICKS))
+        yield from _replica_steps(state, rules)
+        if _may_grant_to_t(state, rules):
+            yield Step("A grants the keys to T", state._replace(t_ttl_left=GRANT_TTL_TICKS))
         if not state.a.knows_move:
             known = state.a._replace(knows_move=True)
             yield Step("A takes its new map", state._replace(a=known))
     elif not state.drills and not state.a.cut_off:
-        stored = state._replace(
-            stored=True,
-            w=_after_move(state.w, rules),
-            g=_after_move(state.g, rules),
-        )
-        yield Step("A stores that T owns the keys", stored)
+        yield Step("A stores that T owns the keys", state._replace(stored=True))
+
 
+def _may_grant_to_t(state: RestoredState, rules: RestoredRules) -> bool:
+    if state.acknowledged or not rules.replicates_moves:
+        return True
+    return not rules.most_answer and not state.a.cut_off and not state.drills
 
-def _after_move(daemon: Daemon, rules: RestoredRules) -> Daemon:
-    """Return W or G after A has stored the move."""
-    return daemon._replace(knows_move=not daemon.cut_off and rules.watchers_hear_of_moves)
+
+def _replica_steps(state: RestoredState, rules: RestoredRules) -> Iterator[Step]:
+    """Yield the steps by which W and G acknowledge the move; the store is not needed for it."""
+    if state.acknowledged:
+        return
+    if not state.terms:
+        for name, daemon in (("W", state.w), ("G", state.g)):
+            known = _with_daemon(state, name, daemon._replace(knows_move=True))
+            yield Step(f"{name} acknowledges the move", known._replace(acknowledged=True))
+    elif not (state.w_has_replied and rules.refuses_after_reply):
+        yield Step("W acknowledges the move", state._replace(acknowledged=True))
 
 
-def _contact_steps(state: RestoredState, rules: RestoredRules) -> Iterator[Step]:
+def _contact_steps(state: RestoredState) -> Iterator[Step]:
     """Yield the steps by which daemons lose or regain contact to the store before the drill."""
     if state.a_active and not state.a.cut_off:
         yield Step("A is cut off from the store", state._replace(a=state.a._replace(cut_off=True)))
@@ -200,9 +215,8 @@
             back = Daemon(knows_move=state.stored)
             yield Step(f"{name} reaches the store again", _with_daemon(state, name, back))
             continue
-        if not (rules.most_are_in_touch and (state.w.cut_off or state.g.cut_off)):
-            cut = daemon._replace(cut_off=True)
-            yield Step(f"{name} is cut off from the store", _with_daemon(state, name, cut))
+        cut = daemon._replace(cut_off=True)
+        yield Step(f"{name} is cut off from the store", _with_daemon(state, name, cut))
         if state.stored and not daemon.knows_move:
             known = daemon._replace(knows_move=True)
             yield Step(f"{name} hears of the move", _with_daemon(state, name, known))
@@ -241,7 +255,7 @@
     if not state.g.heard_of_era:
         return
     # Different replies may come to the same.
-    outcomes: set[tuple[bool, bool]] = set()
+    outcomes: set[tuple[bool, bool, bool]] = set()
     a_replies = [Reply()]
     if state.a_alive:
         may_vouch = not (state.a_active and rules.vouches_after_end)
@@ -250,9 +264,10 @@
         knows_move = state.g.knows_move or any(reply.has_move for reply in replies)
         witnesses = _is_witness(state.g, rules) + sum(reply.is_witness for reply in replies)
         witnessed = witnesses >= (MAJORITY if rules.needs_majority else 1)
-        if (knows_move, witnessed) in outcomes:
+        w_has_replied = bool(replies[1].label)
+        if (knows_move, witnessed, w_has_replied) in outcomes:
             continue
-        outcomes.add((knows_move, witnessed))
+        outcomes.add((knows_move, witnessed, w_has_replied))
         wait = UNKNOWN_OWNERS_WAIT_TICKS
         if witnessed or not rules.waits_without_witness:
             wait = 0
@@ -267,6 +282,7 @@
                 wait=wait,
                 recorded_wait=wait if rules.records_wait else 0,
                 waiting=wait > 0,
+                w_has_replied=w_has_replied,
                 w=NO_LONGER_ASKED,
                 g=NO_LONGER_ASKED,
             ),
