Take responses with a status above 599 for malformed

RFC 9110 (15) has statuses from 100 to 599; others are no answer in the protocol.

Cause: h11 refuses statuses below 100 but takes any three digits above, and nothing else looked. 000, 001 and 099 gave 502 before and do now; that had no test.

Change: Exchange raises InvalidResponseError for them, as for any malformed response: the connection is not used again, an idempotent request may get another attempt.

Statuses like 299 or 599, which are unassigned but valid, are passed on.

--- a/libs/httpio/src/fuchsiawell/httpio/client.py
+++ b/libs/httpio/src/fuchsiawell/httpio/client.py
@@ -32,6 +32,8 @@
 # A server may take its time to read bodies longer than this, and its receive window may be full
 # meanwhile, which the limit for unacknowledged data does not tell from a server that has gone.
 LONG_BODY_BYTES = 16 * 1024
+# RFC 9110 (15) calls other status codes invalid; the parser accepts any three digits.
+MAX_STATUS = 599
 # Parts of a response that are read from received bytes before other tasks get a turn.
 EVENTS_PER_TURN = 64
 
@@ -256,6 +258,8 @@
             self._reader.receive_data(unparsed)
 
     def _decode(self, event: h11.Response) -> ResponseHead:
+        if event.status_code > MAX_STATUS:
+            raise InvalidResponseError(f"status {event.status_code} is not valid in HTTP")
         fields = [(bytes(key), bytes(value)) for key, value in event.headers]
         if b"close" in (first_value(fields, b"connection") or b"").lower():
             self._must_close = True
--- a/libs/httpio/tests/test_client.py
+++ b/libs/httpio/tests/test_client.py
@@ -93,6 +93,8 @@
         b"HTTP/1.1 200 OK\r\nrequest-id: mine\r\ncontent-length: 10\r\n\r\nshort",
         b"HTTP/1.1 200 OK\r\nrequest-id: mine\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
         b"\x16\x03\x01 this is no answer\r\n\r\n",
+        b"HTTP/1.1 000 Odd\r\nrequest-id: mine\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 600 Odd\r\nrequest-id: mine\r\ncontent-length: 0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nrequest-id: mi",
     ],
 )
