Tell the era of a map also where eras are above 2^30

Cause: the era of a stored map was told by its fences, which lie above 2^32 times the era and must fit 62 bits. All eras above 2^30 had one floor, so the copy's map passed for one of the present era: nobody was asked, nothing waited for. Daemons that started with a copy vouched for it in a second drill for the same reason.

Ruled out: that the era goes unnoticed (it is logged, and eras from 1 hold), and that the others' owners lose (they are not asked: no "owners asked of other daemons").

Change: in such eras the first map of a term is written with a record of its era, which take-overs and witnesses go by; terms and fences rise by 2^22 an era from the newest known. Messages take eras up to 2^63 - 1. No call more on other stores; one read a take-over in such eras.

--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -11,7 +11,9 @@
 from fuchsiawell.gateway.control.store_keys import (
     DAEMONS_PREFIX,
     GRANTER_KEY,
+    MAP_ERAS_PREFIX,
     SHARDS_PREFIX,
+    decode_map_era,
     decode_peer,
     decode_stored_map,
 )
@@ -188,6 +190,8 @@
             self.evacuations.apply(item, self.unconfirmed_s, from_copy=self._lists_copy)
         elif key.startswith(DAEMONS_PREFIX):
             self._apply_daemon(item)
+        elif key.startswith(MAP_ERAS_PREFIX):
+            self._apply_map_era(item)
         elif key == GRANTER_KEY:
             self._set_granter(None if item.value is None else item.value.decode())
         return True
@@ -261,6 +265,17 @@
             return False
         return self._session.apply_shard_map(shard_map, "store")
 
+    def _apply_map_era(self, item: Item) -> None:
+        if item.value is None:
+            return
+        try:
+            era = decode_map_era(item.value)
+        except ValueError as error:
+            self._session.log.warning("era unreadable, ignored", key=item.key, reason=str(error))
+            return
+        service = item.key.removeprefix(MAP_ERAS_PREFIX)
+        self._session.era_knowledge.record_map_era(service, era)
+
     def _apply_daemon(self, item: Item) -> None:
         name = item.key.removeprefix(DAEMONS_PREFIX)
         if item.value is None:
--- a/libs/gateway/src/fuchsiawell/gateway/control/last_owners.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/last_owners.py
@@ -1,4 +1,4 @@
-"""Who knows the owners of keys that the store may have forgotten."""
+"""Who knows the owners of keys that the store may have forgotten, and what follows for counters."""
 
 from __future__ import annotations
 
@@ -8,19 +8,60 @@
 
 if TYPE_CHECKING:
     from fuchsiawell.gateway.session.state import Session
+    from fuchsiawell.shards import ShardMap
 
-__all__ = ["COUNTERS_PER_ERA", "counter_floor", "knows_last_owners"]
+__all__ = [
+    "COUNTERS_PER_ERA",
+    "MAX_COUNTED_ERA",
+    "begins_era",
+    "counter_floor",
+    "first_counter_floor",
+    "knows_last_owners",
+]
 
 # Terms and fences of an era of the store lie above its number times this, so that none is given out
 # again when the store forgets the last ones. Fewer than these are given out in an era.
 COUNTERS_PER_ERA = 2**32
-# Terms and fences are stored in 62 bits.
-MAX_ERA = 2**30 - 1
+# Terms and fences are stored in 62 bits, so that this holds up to this era only: a store may count
+# from a large number. In later eras the store names the era of each map beside it.
+MAX_COUNTED_ERA = 2**30 - 1
+# In later eras terms and fences rise by this for each era since the newest map known: more than are
+# given out in the seconds that a store forgets.
+COUNTERS_PER_FORGOTTEN_ERA = 2**22
+# Eras that may lie between the newest map known and this one.
+MAX_FORGOTTEN_ERAS = 2**8
+# Without any map known, they rise with as much of the number of a later era.
+FIRST_MAP_ERAS = 2**20
 
 
 def counter_floor(era: int | None) -> int:
-    """Return a number that all terms and fences of an era of the store are above."""
-    return 0 if era is None else min(era, MAX_ERA) * COUNTERS_PER_ERA
+    """Return a number that all terms and fences of an era of the store are above, 0 if unknown."""
+    return era * COUNTERS_PER_ERA if era is not None and era <= MAX_COUNTED_ERA else 0
+
+
+def begins_era(era: int | None, stored: ShardMap | None, map_era: int | None) -> bool:
+    """Return whether a stored map is of an earlier era: it may lack what the store has forgotten.
+
+    `map_era` is the era in which its term began, as the store names it in eras that are not
+    counted.
+    """
+    if era is None:
+        return False
+    if stored is None:
+        return True
+    if era <= MAX_COUNTED_ERA:
+        return stored.next_fence <= counter_floor(era)
+    return map_era != era
+
+
+def first_counter_floor(era: int, newest: ShardMap | None, map_era: int | None) -> int:
+    """Return a number that is above all terms and fences of before an era that begins."""
+    if era <= MAX_COUNTED_ERA:
+        return counter_floor(era)
+    if newest is None:
+        return era % FIRST_MAP_ERAS * COUNTERS_PER_ERA
+    eras = 1 if map_era is None else min(max(1, era - map_era), MAX_FORGOTTEN_ERAS)
+    return max(newest.term, newest.next_fence) + eras * COUNTERS_PER_FORGOTTEN_ERA
 
 
 def knows_last_owners(session: Session, service: str, era: int) -> bool:
@@ -32,10 +73,11 @@
     """
     since_era = session.era_knowledge.since_before(era)
     known = session.shard_maps.get(service)
-    return (
-        since_era is not None
-        and known is not None
-        and known.granter != UNKNOWN_OWNERS
-        and known.next_fence > counter_floor(since_era)
-        and service not in session.granting_terms
-    )
+    if since_era is None or known is None or known.granter == UNKNOWN_OWNERS:
+        return False
+    if since_era <= MAX_COUNTED_ERA:
+        is_since = known.next_fence > counter_floor(since_era)
+    else:
+        map_era = session.era_knowledge.map_era(service)
+        is_since = map_era is not None and map_era >= since_era
+    return is_since and service not in session.granting_terms
--- a/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from fuchsiawell.gateway.control.message_fields import decode_number, decode_text
+from fuchsiawell.gateway.control.message_fields import MAX_ERA, decode_number, decode_text
 from fuchsiawell.shards import KEY_COUNT, Assignment, Owner
 
 __all__ = [
@@ -145,14 +145,14 @@
             return MapReply(decode_text(service), [decode_assignment(*row) for row in rows])
         case "b", [service, era, min_fence]:
             return WitnessRequest(
-                decode_text(service), decode_number(era), decode_number(min_fence)
+                decode_text(service), decode_number(era, MAX_ERA), decode_number(min_fence)
             )
         case "d", [service, newer]:
             return WitnessReply(decode_text(service), decode_number(newer))
         case "R", [service, era, term, number, list(rows)]:
             return AssignmentReplica(
                 decode_text(service),
-                decode_number(era),
+                decode_number(era, MAX_ERA),
                 decode_number(term),
                 decode_number(number),
                 [decode_assignment(*row) for row in rows],
--- a/libs/gateway/src/fuchsiawell/gateway/control/message_fields.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/message_fields.py
@@ -4,10 +4,12 @@
 
 from enum import StrEnum
 
-__all__ = ["MAX_NUMBER", "PermitStatus", "decode_number", "decode_text"]
+__all__ = ["MAX_ERA", "MAX_NUMBER", "PermitStatus", "decode_number", "decode_text"]
 
 # Larger numbers are malformed: sums of them must fit into 64 bits.
 MAX_NUMBER = 2**62
+# Eras of the store may have any number; they are only compared.
+MAX_ERA = 2**63 - 1
 
 
 class PermitStatus(StrEnum):
--- a/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/shard_map_record.py
@@ -6,9 +6,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from fuchsiawell.gateway.control.last_owners import MAX_COUNTED_ERA
 from fuchsiawell.gateway.control.store_keys import (
+    MAP_ERAS_PREFIX,
     PAST_GRANTERS_PREFIX,
     SHARDS_PREFIX,
+    decode_map_era,
     decode_stored_map,
 )
 from fuchsiawell.gateway.ports import ConflictError, StoreUnavailableError, Write
@@ -53,6 +56,7 @@
         self.era: int | None = None
         self._key = SHARDS_PREFIX + service
         self._past_key = PAST_GRANTERS_PREFIX + service
+        self._map_era_key = MAP_ERAS_PREFIX + service
         self._store = store
         self._log = log
         self.guards = guards
@@ -102,17 +106,42 @@
             )
             return None
 
+    async def read_map_era(self) -> int | None:
+        """Return the era in which the term of the stored map began.
+
+        None if the era is counted, or the store does not name it: a daemon of an earlier release
+        has written the map.
+        """
+        if self.era is None or self.era <= MAX_COUNTED_ERA:
+            return None
+        item = await self._store.get(self._map_era_key)
+        if item is None or item.value is None:
+            return None
+        try:
+            return decode_map_era(item.value)
+        except ValueError as error:
+            self._log.warning(
+                "era of the shard map unreadable, taken for an earlier one",
+                key=self._map_era_key,
+                revision=item.revision,
+                reason=str(error),
+            )
+            return None
+
     async def compare_and_swap(self, new_map: ShardMap, past: PastGranters | None = None) -> bool:
-        """Write a map once, and the record of past granters; return whether the revision matched.
+        """Write a map once; return whether the revision matched.
 
-        Raises GrantingLostError if the store has come back from an older copy since.
+        The first map of a term is written with the record of past granters and, if terms do not
+        show it, its era. Raises GrantingLostError if the store has come back from an older copy.
         """
         if self._store.era != self.era:
             raise GrantingLostError
         write = Write(self._key, encode_map(new_map), 0, self._revision, self.guards)
-        record = [] if past is None else [Write(self._past_key, encode_past_granters(past))]
+        records = [] if past is None else [Write(self._past_key, encode_past_granters(past))]
+        if past is not None and self.era is not None and self.era > MAX_COUNTED_ERA:
+            records.append(Write(self._map_era_key, str(self.era).encode()))
         try:
-            self._revision = await self._store.write([*record, write])
+            self._revision = await self._store.write([*records, write])
         except ConflictError:
             return False
         return True
--- a/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/store_keys.py
@@ -17,9 +17,11 @@
     "DAEMONS_PREFIX",
     "ELECTIONS_PREFIX",
     "GRANTER_KEY",
+    "MAP_ERAS_PREFIX",
     "OWN_PREFIX",
     "PAST_GRANTERS_PREFIX",
     "SHARDS_PREFIX",
+    "decode_map_era",
     "decode_peer",
     "decode_stored_map",
     "encode_peer",
@@ -28,6 +30,9 @@
 OWN_PREFIX = "fuchsiawell/"
 DAEMONS_PREFIX = OWN_PREFIX + "daemons/"
 SHARDS_PREFIX = OWN_PREFIX + "shards/"
+# The era of the store in which the term of the map began, in digits, by service; only in eras that
+# terms do not show.
+MAP_ERAS_PREFIX = OWN_PREFIX + "map-eras/"
 # Granters of earlier terms that may still renew grants, by service.
 PAST_GRANTERS_PREFIX = OWN_PREFIX + "past-granters/"
 # Written by each daemon at its election, under the granter's lease: its revision shows that the
@@ -38,6 +43,7 @@
 # Addresses that a socket accepts: it fails for good on others.
 HOST = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*|[0-9A-Fa-f]*:[0-9A-Fa-f:.]*")
 MAX_PORT = 65535
+MAX_ERA_DIGITS = 19
 MAX_CAPACITY_CORES = 1e6
 # Names of hosts are no longer either.
 MAX_NAME_CHARACTERS = 253
@@ -51,6 +57,13 @@
     return shard_map
 
 
+def decode_map_era(value: bytes) -> int:
+    """Return the era that is stored for a map; raises ValueError."""
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_ERA_DIGITS):
+        raise ValueError("not the era of a map")
+    return int(value)
+
+
 def encode_peer(peer: Peer) -> bytes:
     row = [peer.name, peer.start_id, peer.host, peer.port, peer.zone, peer.capacity_cores]
     return bytes(msgpack.packb(row))
--- a/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/take_over.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.control.last_owners import counter_floor, knows_last_owners
+from fuchsiawell.gateway.control.last_owners import (
+    begins_era,
+    counter_floor,
+    first_counter_floor,
+    knows_last_owners,
+)
 from fuchsiawell.gateway.ports import StoreUnavailableError
 from fuchsiawell.shards import (
     KEY_COUNT,
@@ -58,17 +63,19 @@
     waited_in_term = 0
     while True:
         stored, past = await record.read(), await record.read_past_granters()
+        map_era = await record.read_map_era()
+        is_first = begins_era(record.era, stored, map_era)
         floor = counter_floor(record.era)
-        # The stored map may lack what the store has forgotten.
-        begins_era = record.era is not None and (stored is None or stored.next_fence <= floor)
         newest, owners_known = stored, True
-        if begins_era:
+        if is_first:
             newest, owners_known = await _newest_map(record, stored, session, peers)
+            assert record.era is not None
+            floor = first_counter_floor(record.era, newest, map_era)
         now_s = session.now_s
         renews_until_s: dict[str, float] = {}
         if newest is not None:
             renews_until_s = _renews_until_s(stored, past, own_name, timing, now_s)
-        if begins_era:
+        if is_first:
             renews_until_s[UNKNOWN_GRANTER] = now_s + timing.renew_without_store_s
         if not owners_known:
             renews_until_s[UNKNOWN_OWNERS] = now_s + timing.renew_without_store_s + timing.max_ttl_s
@@ -86,9 +93,12 @@
         remaining_s[own_name] = timing.renew_without_store_s
         if not await record.compare_and_swap(new_map, PastGranters(new_map.term, remaining_s)):
             await asyncio.sleep(CONFLICT_DELAY_S)
-        elif not waits:
+            continue
+        if not waits:
+            if record.era is not None:
+                session.era_knowledge.record_map_era(record.service, record.era)
             return TermStart(new_map, renews_until_s)
-        elif await _wait_for_owners(record, new_map, renews_until_s, session):
+        if await _wait_for_owners(record, new_map, renews_until_s, session):
             waited_in_term = new_map.term
 
 
