Hold back all released servers that a copy of the store has back

Cause: entries of removed servers were held back only if they were at most a quarter of their service; more were taken for entries that had lapsed. Whether the removals had been seen, at a sound store, was not asked.

Ruled out: forgotten removals (one of eight stays away), renewals (there are none).

Change: a daemon keeps the revision of each removal that it sees as a change. An entry of the copy with a lower revision is older than the removal, and is held back whatever the share; one with a higher one was written since, and is used at once. The share decides only where the revision is unknown (absent in a listing, or told by others).

--- a/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/item_applier.py
@@ -33,8 +33,8 @@
 # An entry that is in the store for this time is renewed by its server: entries last three
 # heartbeats (up to 4.5 s), and the news of a removal takes a second.
 RENEWAL_PROOF_S = 6.0
-# Ratio of a service's servers above which they do not count as removed: planned maintenance takes
-# out up to a fifth at a time.
+# Ratio of a service's servers above which they do not count as removed, if that is not certain:
+# planned maintenance takes out up to a fifth at a time.
 MAX_REMOVED_RATIO = 0.25
 
 
@@ -49,6 +49,8 @@
         self._lists_copy = False
         # Servers in that copy whose removal it may lack.
         self._removed_ids: set[str] = set()
+        # Revisions of the removals of servers, by incarnation, as long as these are known.
+        self._removal_revisions: dict[str, int] = {}
         # Entries of a copy whose servers had been removed, and until when they are not used.
         self._held_by_key: dict[str, tuple[Backend, float]] = {}
         # Where the changes being applied came from, the store or the name of a hub, and the time
@@ -200,6 +202,7 @@
         backend_id = item.key.removeprefix(self._records.backends_prefix)
         self._held_by_key.pop(item.key, None)
         if item.value is None:
+            self._record_removal(backend_id, item.revision)
             self._session.remove_backend(backend_id)
             return
         backend = self._records.decode_backend(item.key, item.value)
@@ -215,13 +218,25 @@
             return
         self._session.update_backend(backend, self.unconfirmed_s)
 
+    def _record_removal(self, backend_id: str, revision: int) -> None:
+        directory = self._session.directory
+        backend = directory.by_id.get(backend_id)
+        if backend is None:
+            return
+        known = {b.incarnation_id for b in directory.by_id.values()} | directory.removed.keys()
+        self._removal_revisions = {i: r for i, r in self._removal_revisions.items() if i in known}
+        self._removal_revisions[backend.incarnation_id] = revision
+
     def _removed_among(self, items: Sequence[Item]) -> set[str]:
         """Return the ids of servers in a copy whose removal it may lack.
 
-        If many of a service were removed, their entries had lapsed and the servers still run.
+        It lacks a removal whose revision is above that of the entry. Of removals that were not seen
+        as changes the revisions are not known: if they are many of a service, their entries may
+        have lapsed and the servers still run.
         """
         directory, prefix = self._session.directory, self._records.backends_prefix
         listed: Counter[str] = Counter()
+        certain: set[str] = set()
         removed: dict[str, list[str]] = {}
         for item in items:
             if not item.key.startswith(prefix) or item.value is None:
@@ -234,9 +249,15 @@
             if backend is None:
                 continue
             listed[backend.service] += 1
-            if backend.incarnation_id in directory.removed or directory.is_left_out(backend.id):
+            if backend.incarnation_id in directory.removed:
+                removal_revision = self._removal_revisions.get(backend.incarnation_id)
+                if removal_revision is None:
+                    removed.setdefault(backend.service, []).append(backend.id)
+                elif item.revision < removal_revision:
+                    certain.add(backend.id)
+            elif directory.is_left_out(backend.id):
                 removed.setdefault(backend.service, []).append(backend.id)
-        return {
+        return certain | {
             backend_id
             for service, ids in removed.items()
             if len(ids) <= max(1, MAX_REMOVED_RATIO * listed[service])
--- a/libs/gateway/tests/test_restored_store.py
+++ b/libs/gateway/tests/test_restored_store.py
@@ -334,6 +334,45 @@
     assert "i-0" not in applier._session.directory.by_id
 
 
+# Guards against requests for servers that had been released one after the other while the store was
+# sound (DRAIN): as they were over a quarter of their service, they were taken for lapsed ones.
+@pytest.mark.parametrize("released", [2, 4, 7, 8])
+def test_released_servers_stay_away_however_many_they_are(released: int) -> None:
+    clock = ManualClock(1000.0)
+    applier = ItemApplier(session(clock), FakeRecordDecoder())
+    copy = [Item(f"servers/i-{n}", b"good", 10 + n) for n in range(8)]
+    applier.apply_listing(copy)
+    for number in range(released):
+        clock.advance(1.0)
+        assert applier.apply(Item(f"servers/i-{number}", None, 20 + number))
+    applier.apply_copy(copy)
+    assert set(applier._session.directory.by_id) == {f"i-{n}" for n in range(released, 8)}
+
+
+# Guards against servers that stay unused although they run: they had been removed and were back
+# when the copy was made, which this daemon had missed.
+def test_servers_that_returned_before_the_copy_was_made_are_used_at_once() -> None:
+    clock = ManualClock(1000.0)
+    applier = ItemApplier(session(clock), FakeRecordDecoder())
+    applier.apply_listing([Item(f"servers/i-{n}", b"good", 10 + n) for n in range(8)])
+    for number in range(4):
+        assert applier.apply(Item(f"servers/i-{number}", None, 20 + number))
+    applier.apply_copy([Item(f"servers/i-{n}", b"good", 30 + n) for n in range(8)])
+    assert len(applier._session.directory.by_id) == 8
+
+
+# Guards against memory that grows with each server that was ever removed.
+def test_removals_are_forgotten_with_their_servers() -> None:
+    clock = ManualClock(1000.0)
+    applier = ItemApplier(session(clock), FakeRecordDecoder())
+    for number in range(1000):
+        assert applier.apply(Item(f"servers/i-{number}", b"good", 2 * number + 1))
+        assert applier.apply(Item(f"servers/i-{number}", None, 2 * number + 2))
+        clock.advance(1.0)
+        applier._session.directory.removed.expire(applier._session.now_s)
+    assert len(applier._removal_revisions) < 100
+
+
 # Guards against the same at a service of few servers, of which one is over a quarter.
 def test_removed_server_of_a_small_service_stays_away() -> None:
     clock = ManualClock(1000.0)
