Hear of all parts of a divided range after a drill

Found by reading the path of the replicas: replies to a new granter were kept by fence, but a range that is divided around a later move keeps its fence in both parts. Replies are kept whole now, and merged a range before its parts.

test_all_parts_of_a_divided_range_are_heard failed before (1 witness of 2).

--- a/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
@@ -90,13 +90,13 @@
 class NewerAssignments:
     """Replies to requests for the assignments of a service, by sender."""
 
-    _by_sender: dict[str, dict[int, Assignment]] = field(default_factory=dict)
+    # Parts of a divided range have the same fence.
+    _by_sender: dict[str, set[Assignment]] = field(default_factory=dict)
     _count_by_witness: dict[str, int] = field(default_factory=dict)
 
     def add(self, sender: str, assignments: list[Assignment]) -> None:
         """Add assignments that a daemon knows."""
-        known = self._by_sender.setdefault(sender, {})
-        known.update((assignment.fence, assignment) for assignment in assignments)
+        self._by_sender.setdefault(sender, set()).update(assignments)
 
     def add_witness(self, sender: str, count: int) -> None:
         """Record that a daemon has known the last map of before, and has sent so many."""
@@ -104,9 +104,9 @@
 
     @property
     def in_order(self) -> list[Assignment]:
-        """All assignments, in the order of their fences."""
-        assignments = {fence: a for known in self._by_sender.values() for fence, a in known.items()}
-        return [assignments[fence] for fence in sorted(assignments)]
+        """All assignments, in the order of their fences; a range before its parts."""
+        assignments = set().union(*self._by_sender.values())
+        return sorted(assignments, key=lambda a: (a.fence, -a.key_count, a.first))
 
     @property
     def witnesses(self) -> int:
--- a/libs/gateway/tests/test_take_over.py
+++ b/libs/gateway/tests/test_take_over.py
@@ -316,6 +316,30 @@
     run(scenario)
 
 
+# Guards against two owners of a key (OWNER): parts of a divided range share its fence, and all but
+# one of them were lost, so that a move was not known, or its daemon vouched for nothing.
+def test_all_parts_of_a_divided_range_are_heard() -> None:
+    divided = _map("d-2", 1, (11, SECOND)).assign([(100, 199, FIRST)])
+    assert [a.fence for a in divided.assignments] == [11, 12, 11]
+    whole = _map("d-2", 1, (11, SECOND))
+    for maps in ((divided, whole), (whole, divided)):
+        replies = NewerAssignments()
+        for number, known in enumerate(maps):
+            replies.add(f"d-{number}", list(known.assignments))
+            replies.add_witness(f"d-{number}", len(known.assignments))
+        assert replies.witnesses == 2
+        merged = _map("d-2", 1, (1, FIRST)).merge_newer(replies.in_order)
+        owners = {key: merged.assignment_for(key).owner for key in (0, 99, 100, 199, 200, 65535)}
+        assert owners == {
+            0: SECOND,
+            99: SECOND,
+            100: FIRST,
+            199: FIRST,
+            200: SECOND,
+            65535: SECOND,
+        }
+
+
 # Datagrams may be lost: assignments that have not arrived may be those that the copy lacks.
 def test_daemon_whose_assignments_are_lost_vouches_for_nothing() -> None:
     newer = _map("d-2", 1, (11, FIRST), (12, SECOND))
