Name the limit of assignments in a datagram once

Replies and replicas had a constant each for the same limit. No change of behaviour: test_assignment_replication, test_take_over and test_peer_messages pass (92).

--- a/libs/gateway/src/fuchsiawell/gateway/control/assignment_replication.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/assignment_replication.py
@@ -5,7 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from fuchsiawell.gateway.control.map_messages import AssignmentReplica, ReplicaAck
+from fuchsiawell.gateway.control.map_messages import (
+    MAX_ASSIGNMENTS,
+    AssignmentReplica,
+    ReplicaAck,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,8 +24,6 @@
 # How often a replica is sent to the daemons that have not acknowledged it, as datagrams may be
 # lost, and the wait for acknowledgements after each time. Nobody serves the keys meanwhile.
 MAX_SENDS, ACK_WAIT_S = 4, 0.05
-# Assignments in one datagram.
-MAX_REPLICA_ASSIGNMENTS = 100
 
 
 class AssignmentReplicator:
@@ -86,9 +88,9 @@
         self, stored_map: ShardMap, era: int, assignments: Sequence[Assignment]
     ) -> list[AssignmentReplica]:
         replicas = []
-        for start in range(0, len(assignments), MAX_REPLICA_ASSIGNMENTS):
+        for start in range(0, len(assignments), MAX_ASSIGNMENTS):
             self._last_number += 1
-            rows = list(assignments[start : start + MAX_REPLICA_ASSIGNMENTS])
+            rows = list(assignments[start : start + MAX_ASSIGNMENTS])
             replicas.append(
                 AssignmentReplica(stored_map.service, era, stored_map.term, self._last_number, rows)
             )
--- a/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/map_messages.py
@@ -8,6 +8,7 @@
 from fuchsiawell.shards import KEY_COUNT, Assignment, Owner
 
 __all__ = [
+    "MAX_ASSIGNMENTS",
     "AssignmentReplica",
     "MapMessage",
     "MapReply",
@@ -23,6 +24,8 @@
     "encode_map_body",
 ]
 
+# Assignments in one datagram.
+MAX_ASSIGNMENTS = 100
 MAX_PORT = 65535
 
 
--- a/libs/gateway/src/fuchsiawell/gateway/control/peers.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/peers.py
@@ -7,7 +7,7 @@
 
 from fuchsiawell.balance import short_id
 from fuchsiawell.gateway.control.last_owners import knows_last_owners
-from fuchsiawell.gateway.control.map_messages import NewerAssignments
+from fuchsiawell.gateway.control.map_messages import MAX_ASSIGNMENTS, NewerAssignments
 from fuchsiawell.gateway.control.pace_messages import (
     GroupPaceReport,
     PaceMessage,
@@ -63,8 +63,6 @@
 # How often other daemons are asked for newer assignments, as datagrams may be lost, and the wait
 # for the replies after each time.
 MAP_REQUESTS, MAP_REPLY_WAIT_S = 2, 0.1
-# Assignments in one datagram.
-MAX_REPLY_ASSIGNMENTS = 100
 
 
 class PeerMessenger(asyncio.DatagramProtocol):
@@ -274,8 +272,8 @@
         newer = self._newer_assignments(service, min_fence)
         if peer is None or newer is None:
             return
-        for start in range(0, len(newer), MAX_REPLY_ASSIGNMENTS):
-            self.send([peer], MapReply(service, newer[start : start + MAX_REPLY_ASSIGNMENTS]))
+        for start in range(0, len(newer), MAX_ASSIGNMENTS):
+            self.send([peer], MapReply(service, newer[start : start + MAX_ASSIGNMENTS]))
 
     def _reply_as_witness(self, sender: str, service: str, min_fence: int) -> None:
         peer = self._session.peers_by_name.get(sender)
--- a/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
+++ b/libs/gateway/src/fuchsiawell/gateway/control/service_granter.py
@@ -40,7 +40,8 @@
 # The first write after a pause waits for the other ranges of the same plan: idle owners answer
 # their releases within a few milliseconds of each other.
 COLLECT_S = 0.01
-# No move begins while a write of the map takes longer: no server serves ranges that are free.
+# No move begins while a write of the map, with its replication, takes longer: no server serves
+# ranges that are free.
 MAX_WRITE_S = 0.25
 # New owners are announced after their grants, but no later: one that does not answer takes 1.1 s.
 MAX_GRANT_WAIT_S = 0.25
--- a/libs/gateway/tests/test_assignment_replication.py
+++ b/libs/gateway/tests/test_assignment_replication.py
@@ -14,12 +14,11 @@
 
 from fuchsiawell.gateway.control.assignment_replication import (
     ACK_WAIT_S,
-    MAX_REPLICA_ASSIGNMENTS,
     MAX_SENDS,
     AssignmentReplicator,
     new_owners,
 )
-from fuchsiawell.gateway.control.map_messages import ReplicaAck
+from fuchsiawell.gateway.control.map_messages import MAX_ASSIGNMENTS, ReplicaAck
 from fuchsiawell.gateway.control.peers import PeerMessenger
 from fuchsiawell.gateway.control.shard_map_record import GrantingLostError, ShardMapRecord
 from fuchsiawell.gateway.control.store_keys import SHARDS_PREFIX
@@ -131,7 +130,7 @@
     return sum(m is not None and assignment in m.assignments for m in completed)
 
 
-@pytest.mark.parametrize("ranges", [1, 2 * MAX_REPLICA_ASSIGNMENTS + 1])
+@pytest.mark.parametrize("ranges", [1, 2 * MAX_ASSIGNMENTS + 1])
 def test_each_assignment_is_known_to_most_daemons_though_datagrams_are_lost(ranges: int) -> None:
     async def scenario(site: Site) -> None:
         stored = KNOWN.assign([(10 * n, 10 * n + 9, NEXT) for n in range(ranges)])
