--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -710,6 +710,10 @@
 
     async def run():
         site = Site(folder, record)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # So that the processes are ended too.
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await scenario(site, trouble)
@@ -718,7 +722,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRunError, TimeoutError) as error:
+    except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
         record.write("could not run:", repr(error))
         print(f"could not run: {error!r}")
         sys.exit(2)
