--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -268,6 +268,9 @@
         self.reaches_store = True
         self.up = False
         self.running = self.waiting = 0
+        # "The backends of some services never respond to a request that they cannot queue."
+        self.is_silent_when_full = False
+        self.on_overflow = lambda request_id: None
         self.extra_fields = lambda request_id: []
         self.crashes_on = lambda path: False
         self.on_run = lambda request_id, fields: None
@@ -357,6 +360,10 @@
         if self.sharded and (key is None or not self.owns(int(key))):
             return 421, [*extra, f"Instance-Id: {self.id}", "Not-Executed: 1"], b""
         if self.running + self.waiting >= self.slots + self.queue:
+            if self.is_silent_when_full:
+                # Nor does it respond to any further request on this connection.
+                self.on_overflow(request_id)
+                await asyncio.sleep(3600)
             return 503, [*extra, "Not-Executed: 1"], b""
         deadline_s = now_s() + int(fields.get("deadline-ms", "30000")) / 1000
         self.waiting += 1
