--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -127,6 +127,20 @@
         for task in self._tasks:
             task.cancel()
 
+    def copy(self):
+        """Return a copy of all that the store holds."""
+        leases = {lease: list(times) for lease, times in self.leases.items()}
+        return self.revision, dict(self.items), leases, list(self.events), self._forgotten
+
+    def restore(self, copy):
+        """Come back from an older copy, in the next era; leases of the copy begin anew."""
+        self.era += 1
+        self.revision, self.items, leases, events, self._forgotten = copy
+        self.leases = {lease: [ttl_s, now_s() + ttl_s] for lease, (ttl_s, _) in leases.items()}
+        self.events = deque(events)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def put(self, key, value, lease=0):
         self._change([(key, value, lease)], [])
 
@@ -227,9 +241,12 @@
         return 200, {}
 
     async def _watch(self, prefix, after, wait_s):
-        until_s = now_s() + wait_s
+        until_s, era = now_s() + wait_s, self.era
         while True:
-            if after < self._forgotten:
+            if self.era != era:
+                # A watch of before the copy is cut.
+                raise ConnectionResetError
+            if not self._forgotten <= after <= self.revision:
                 return 410, {}
             rows = [r for _, rev, r in self.events if rev > after and r["key"].startswith(prefix)]
             left_s = until_s - now_s()
@@ -584,6 +601,7 @@
         self.ports = 0
         self._beaten_s = {}
         self._version = 0
+        self._configuration = b""
         self._tasks = []
 
     async def start(self, daemons):
@@ -636,7 +654,8 @@
                 "idle_timeout": "15000ms",
             },
         }
-        self.store.put("op/config", json.dumps(body).encode())
+        self._configuration = json.dumps(body).encode()
+        self.store.put("op/config", self._configuration)
 
     def add(self, backend):
         self.backends[backend.id] = backend
@@ -646,6 +665,22 @@
         self._beaten_s[backend.id] = now_s()
         self.store.put(f"servers/{backend.id}", backend.entry(sequence))
 
+    def forget(self, backend):
+        """Remove the entry of a server that leaves."""
+        self._beaten_s.pop(backend.id, None)
+        self.store.remove(f"servers/{backend.id}")
+
+    def write_again(self):
+        """Write what a store that came back from a copy lacks: the operator's and servers' part."""
+        self.store.put("op/config", self._configuration)
+        for backend in self.backends.values():
+            if backend.up and backend.reaches_store:
+                self.beat(backend, 1000)
+        for key in self.store.items:
+            if key.startswith("servers/"):
+                # Entries of the copy that nobody renews expire.
+                self._beaten_s.setdefault(key.removeprefix("servers/"), now_s())
+
     async def _expire_entries(self):
         while True:
             await asyncio.sleep(0.1)
